--- /dev/null
+++ b/include/chiveglade/config/settings.h
@@ -0,0 +1,76 @@
+// Settings of one process, read from a JSON file at start.
+#ifndef CHIVEGLADE_CONFIG_SETTINGS_H_
+#define CHIVEGLADE_CONFIG_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "chiveglade/config/problem.h"
+#include "chiveglade/core/clock.h"
+#include "chiveglade/core/resources.h"
+
+namespace chiveglade::config {
+
+// An IP address and TCP port. Names are not resolved.
+struct endpoint {
+  std::string ip;
+  uint16_t port = 0;
+  friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+// "ip:port", or "[ip]:port" for IPv6.
+std::string ToString(const endpoint& at);
+std::optional<endpoint> ParseEndpoint(const std::string& text);
+
+// Settings of `chiveglade entry`.
+struct entry_settings {
+  std::string name;  // unique among entries that run at the same time
+  std::string data_centre;
+  endpoint caller_listen;       // HTTP/1.1 from callers
+  endpoint operator_listen;     // HTTP/1.1 from operators, metrics, status
+  endpoint peer_listen;         // HTTP/2 from agents
+  std::vector<endpoint> table;  // the platform's table service
+  std::vector<endpoint> object_store;  // the platform's object store
+  uint32_t threads = 2;                // event loop threads
+  millis store_timeout{1'000};
+  millis control_poll{1'000};   // how often control rows are read
+  millis append_interval{100};  // group commit of the journal
+  millis scheduler_lease{
+      3'000};  // silence after which another entry takes over
+  uint32_t open_requests = 4'096;  // most requests forwarded at once
+  size_t max_body_bytes = 64u * 1024 * 1024;
+  size_t max_header_bytes = 16u * 1024;
+  millis shutdown_grace{30'000};
+  friend bool operator==(const entry_settings&,
+                         const entry_settings&) = default;
+};
+
+// Settings of `chiveglade agent`.
+struct agent_settings {
+  std::string vm;
+  std::string data_centre;
+  std::string rack;
+  endpoint peer_listen;           // HTTP/2 request streams from entries
+  endpoint status_listen;         // HTTP/1.1 metrics and status
+  endpoint worker;                // the worker's control and request address
+  std::vector<endpoint> entries;  // where to announce first; a balancer is fine
+  resources capacity;
+  millis heartbeat{1'000};
+  millis worker_poll{500};
+  millis worker_lease{
+      10'000};  // the worker's own lease, renewed in small steps
+  millis shutdown_grace{30'000};
+  friend bool operator==(const agent_settings&,
+                         const agent_settings&) = default;
+};
+
+// Parse and check; every problem is returned, unknown keys are problems.
+checked<entry_settings> ParseEntrySettings(const std::string& text,
+                                           const std::string& source);
+checked<agent_settings> ParseAgentSettings(const std::string& text,
+                                           const std::string& source);
+
+}  // namespace chiveglade::config
+
+#endif  // CHIVEGLADE_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/include/chiveglade/state/cluster_state.h
@@ -0,0 +1,87 @@
+// The scheduler's durable state: what the journal and its snapshots hold.
+#ifndef CHIVEGLADE_STATE_CLUSTER_STATE_H_
+#define CHIVEGLADE_STATE_CLUSTER_STATE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "chiveglade/core/result.h"
+#include "chiveglade/state/event.h"
+#include "chiveglade/state/job.h"
+
+namespace chiveglade::state {
+
+// A VM known to the scheduler, with what is committed on it.
+struct vm {
+  vm_id id;
+  std::string data_centre;
+  std::string rack;
+  resources capacity;
+  resources committed;      // sum over the attempts that hold it
+  std::set<task_id> tasks;  // those attempts' tasks
+
+  friend bool operator==(const vm&, const vm&) = default;
+};
+
+// Value type. Apply checks every invariant before it changes anything, so a
+// state can never hold a VM committed beyond its capacity, a task with two
+// live attempts, or an attempt on a VM that is not there. Not thread-safe.
+class cluster_state {
+ public:
+  // Applies one event, or changes nothing and says which rule it would break.
+  result<done> Apply(const event& change);
+
+  // Jobs by name, without retired ones.
+  const std::map<std::string, job>& jobs() const { return jobs_; }
+  // VMs by name.
+  const std::map<std::string, vm>& vms() const { return vms_; }
+  // Names that an operator has drained, also those of VMs not there now.
+  const std::set<std::string>& drained() const { return drained_; }
+  // Names set aside for failing what they start, with their probe count.
+  const std::map<std::string, uint32_t>& quarantined() const {
+    return quarantined_;
+  }
+  // Pending tasks by job name, for jobs that are neither parked nor cancelled.
+  const std::map<std::string, std::set<uint32_t>>& pending() const {
+    return pending_;
+  }
+  // What each tenant's live attempts hold, by tenant.
+  const std::map<std::string, resources>& usage() const { return usage_; }
+  // Outcomes of absorbed commands, the newest kCommandsKept of them.
+  const std::map<std::string, command_done>& commands() const {
+    return commands_;
+  }
+
+  const job* FindJob(const std::string& name) const;
+  const task* FindTask(const task_id& id) const;
+  const vm* FindVm(const std::string& name) const;
+  // True if the name was ever submitted, also after the job was retired.
+  bool NameTaken(const std::string& job_name) const;
+
+  // Number of command outcomes kept for askers that come back.
+  static constexpr size_t kCommandsKept = 10'000;
+  // Number of retired job names kept: about two weeks at 6,200 jobs a day.
+  static constexpr size_t kRetiredNamesKept = 100'000;
+
+  friend bool operator==(const cluster_state&, const cluster_state&) = default;
+
+ private:
+  friend class snapshot_codec;
+
+  std::map<std::string, job> jobs_;
+  std::map<std::string, vm> vms_;
+  std::set<std::string> drained_;
+  std::map<std::string, uint32_t> quarantined_;
+  std::map<std::string, std::set<uint32_t>> pending_;
+  std::map<std::string, resources> usage_;
+  std::map<std::string, command_done> commands_;
+  std::vector<std::string> command_order_;  // oldest first
+  std::set<std::string> retired_;
+  std::vector<std::string> retired_order_;  // oldest first
+};
+
+}  // namespace chiveglade::state
+
+#endif  // CHIVEGLADE_STATE_CLUSTER_STATE_H_
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,3 @@
+// Entry point shared by every Catch2 test program.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
