--- a/include/chiveglade/config/manifest.h
+++ b/include/chiveglade/config/manifest.h
@@ -99,6 +99,14 @@
 checked<manifest> ParseManifest(const std::string& text,
                                 const std::string& source);
 
+// Parses and checks one job as it is submitted, against the manifest in force.
+checked<state::job_spec> ParseJob(const std::string& text,
+                                  const std::string& source,
+                                  const manifest& in);
+
+// The JSON text of a job as ParseJob reads it.
+std::string WriteJob(const state::job_spec& job);
+
 // The canonical JSON text of a manifest; parsing it gives an equal value.
 std::string WriteManifest(const manifest& value);
 
--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,210 @@
+#include "chiveglade/config/settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "chiveglade/config/reference.h"
+#include "json_reader.h"
+
+namespace chiveglade::config {
+
+namespace {
+
+constexpr char kEndpointText[] =
+    "an IP address and port such as \"127.0.0.1:8080\"; names are not resolved";
+constexpr int64_t kMaxMillis = 24LL * 60 * 60 * 1000;
+
+void ReadEndpoint(json_reader& in,
+                  const char* key,
+                  endpoint& out,
+                  const char* meaning) {
+  std::string text;
+  in.Text(key, text, presence::kRequired, meaning);
+  if (text.empty()) {
+    return;
+  }
+  if (const auto parsed = ParseEndpoint(text)) {
+    out = *parsed;
+  } else {
+    in.Problem(key, kEndpointText);
+  }
+}
+
+void ReadEndpoints(json_reader& in,
+                   const char* key,
+                   std::vector<endpoint>& out,
+                   const char* meaning) {
+  constexpr int64_t kMaxEndpoints = 64;
+  in.Texts(key, {1, kMaxEndpoints}, presence::kRequired, meaning, kEndpointText,
+           [&out](const std::string& text) {
+             const auto parsed = ParseEndpoint(text);
+             if (parsed) {
+               out.push_back(*parsed);
+             }
+             return parsed.has_value();
+           });
+}
+
+void ReadEntry(json_reader& in, entry_settings& out) {
+  in.Name("name", out.name, presence::kRequired,
+          "Name of this entry, unique among those that run at one time.");
+  in.Name("data_centre", out.data_centre, presence::kRequired,
+          "Data centre that this VM is in.");
+  ReadEndpoint(in, "caller_listen", out.caller_listen,
+               "Where callers send HTTP/1.1 requests.");
+  ReadEndpoint(in, "operator_listen", out.operator_listen,
+               "Where operators, metrics and status are served.");
+  ReadEndpoint(in, "peer_listen", out.peer_listen,
+               "Where agents send heartbeats over HTTP/2.");
+  ReadEndpoints(in, "table", out.table, "The platform's table service.");
+  ReadEndpoints(in, "object_store", out.object_store,
+                "The platform's object store.");
+  in.Number("threads", out.threads, {1, 64}, presence::kOptional,
+            "Event loop threads.");
+  in.Duration("store_timeout_ms", out.store_timeout, {10, 60'000},
+              "Longest wait for one answer of the table or object store.");
+  in.Duration(
+      "control_poll_ms", out.control_poll, {50, 2'000},
+      "How often data centre rows, the manifest pointer and the journal "
+      "head are read. The limit keeps a change within its 3 s.");
+  in.Duration("append_interval_ms", out.append_interval, {10, 1'000},
+              "Shortest time between two appends to the journal.");
+  in.Duration("scheduler_lease_ms", out.scheduler_lease, {500, 5'000},
+              "Time without an append after which another entry takes over. "
+              "The limit keeps urgent starts within 7.1 s.");
+  in.Number("open_requests", out.open_requests, {1, 1'000'000},
+            presence::kOptional, "Most requests forwarded at one time.");
+  in.Number("max_body_bytes", out.max_body_bytes, {1, int64_t{1} << 40},
+            presence::kOptional, "Largest request body, in bytes.");
+  in.Number("max_header_bytes", out.max_header_bytes, {1'024, 1 << 20},
+            presence::kOptional, "Largest request header, in bytes.");
+  in.Duration("shutdown_grace_ms", out.shutdown_grace, {0, kMaxMillis},
+              "Longest wait for requests in flight at a graceful stop.");
+  in.Finish();
+}
+
+void ReadAgent(json_reader& in, agent_settings& out) {
+  in.Name("vm", out.vm, presence::kRequired, "Name of this VM.");
+  in.Name("data_centre", out.data_centre, presence::kRequired,
+          "Data centre that this VM is in.");
+  in.Name("rack", out.rack, presence::kRequired, "Rack that this VM is in.");
+  ReadEndpoint(in, "peer_listen", out.peer_listen,
+               "Where entries send requests over HTTP/2.");
+  ReadEndpoint(in, "status_listen", out.status_listen,
+               "Where metrics and status are served.");
+  ReadEndpoint(in, "worker", out.worker, "The worker on this VM.");
+  ReadEndpoints(in, "entries", out.entries,
+                "Entries to announce to first; a balancer address is enough.");
+  in.Object(
+      "capacity", presence::kRequired, "What this VM offers to tasks.",
+      [&out](json_reader& nested) {
+        nested.Number("millicores", out.capacity.millicores, {1, 10'000'000},
+                      presence::kRequired, "Thousandths of a processor.");
+        nested.Number("memory_mib", out.capacity.memory_mib,
+                      {1, int64_t{1} << 30}, presence::kRequired,
+                      "Memory in MiB.");
+        nested.Number("accelerators", out.capacity.accelerators, {0, 1'024},
+                      presence::kOptional, "Number of accelerators.");
+      });
+  in.Duration("heartbeat_ms", out.heartbeat, {50, 1'500},
+              "Time between heartbeats. The limit keeps a tick younger than "
+              "the 2 s for which a start stays valid.");
+  in.Duration("worker_poll_ms", out.worker_poll, {20, 5'000},
+              "Time between readings of the worker's tasks.");
+  in.Duration("worker_lease_ms", out.worker_lease, {1'000, 60'000},
+              "Lease that the worker holds on each task.");
+  in.Duration("shutdown_grace_ms", out.shutdown_grace, {0, kMaxMillis},
+              "Longest wait for requests in flight at a graceful stop.");
+  in.Finish();
+}
+
+template <typename T>
+checked<T> Parse(const std::string& text,
+                 const std::string& source,
+                 void (*read)(json_reader&, T&)) {
+  read_context context{source, {}, nullptr};
+  T value;
+  const auto json = ParseJson(text, context);
+  if (context.problems.empty()) {
+    json_reader reader(context, &json, "");
+    read(reader, value);
+  }
+  if (!context.problems.empty()) {
+    return {std::nullopt, std::move(context.problems)};
+  }
+  return {std::move(value), {}};
+}
+
+template <typename T>
+std::vector<field_reference> Reference(void (*read)(json_reader&, T&)) {
+  std::vector<field_reference> fields;
+  read_context context{"", {}, &fields};
+  json_reader reader(context, nullptr, "");
+  T defaults;
+  read(reader, defaults);
+  return fields;
+}
+
+}  // namespace
+
+std::string ToString(const endpoint& at) {
+  const bool is_v6 = at.ip.find(':') != std::string::npos;
+  return (is_v6 ? "[" + at.ip + "]" : at.ip) + ":" + std::to_string(at.port);
+}
+
+std::optional<endpoint> ParseEndpoint(const std::string& text) {
+  constexpr size_t kMaxPortDigits = 5;
+  constexpr int kMaxPort = 65'535;
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string ip = text.substr(0, colon);
+  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+  } else if (ip.find(':') != std::string::npos) {
+    return std::nullopt;
+  }
+  const std::string digits = text.substr(colon + 1);
+  if (digits.empty() || digits.size() > kMaxPortDigits ||
+      digits.find_first_not_of("0123456789") != std::string::npos) {
+    return std::nullopt;
+  }
+  const int port = std::stoi(digits);
+  boost::system::error_code error;
+  boost::asio::ip::make_address(ip, error);
+  if (error || port > kMaxPort) {
+    return std::nullopt;
+  }
+  return endpoint{std::move(ip), static_cast<uint16_t>(port)};
+}
+
+checked<entry_settings> ParseEntrySettings(const std::string& text,
+                                           const std::string& source) {
+  return Parse<entry_settings>(text, source, &ReadEntry);
+}
+
+checked<agent_settings> ParseAgentSettings(const std::string& text,
+                                           const std::string& source) {
+  return Parse<agent_settings>(text, source, &ReadAgent);
+}
+
+std::vector<field_reference> EntrySettingsReference() {
+  return Reference<entry_settings>(&ReadEntry);
+}
+
+std::vector<field_reference> AgentSettingsReference() {
+  return Reference<agent_settings>(&ReadAgent);
+}
+
+std::string ToMarkdown(const std::vector<field_reference>& fields) {
+  std::string out =
+      "| field | accepted | default | meaning |\n| --- | --- | --- | --- |\n";
+  for (const auto& field : fields) {
+    out += "| `" + field.pointer + "` | " + field.accepted + " | " +
+           (field.required ? "required" : field.default_value) + " | " +
+           field.meaning + " |\n";
+  }
+  return out;
+}
+
+}  // namespace chiveglade::config
--- /dev/null
+++ b/tests/support/memory_store.cc
@@ -0,0 +1,163 @@
+#include "tests/support/memory_store.h"
+
+#include <utility>
+
+namespace chiveglade::testing {
+
+namespace {
+
+const reason kLost{"store_answer_lost", "no answer from the store"};
+const reason kRefused{"store_refused", "refused by the store"};
+
+}  // namespace
+
+void memory_store::Dispatch(
+    const std::string& call,
+    const std::string& key,
+    const std::function<void(bool lose_answer)>& execute,
+    const std::function<void()>& lost,
+    const std::function<void()>& refused) {
+  switch (faults_ ? faults_(call, key) : store_fault::kNone) {
+    case store_fault::kNone:
+      execute(false);
+      return;
+    case store_fault::kRefuse:
+      refused();
+      return;
+    case store_fault::kLoseRequest:
+      lost();
+      return;
+    case store_fault::kLoseAnswer:
+      execute(true);
+      return;
+    case store_fault::kHold:
+      held_.push_back({[execute] { execute(false); }, lost});
+      return;
+  }
+}
+
+store::table_service memory_store::table() {
+  store::table_service out;
+  out.read = [this](const std::string& key, const store::read_callback& then) {
+    Dispatch(
+        "read", key,
+        [this, key, then](bool lose) {
+          ++reads_;
+          lose ? then(kLost) : then(Read(key));
+        },
+        [then] { then(kLost); }, [then] { then(kRefused); });
+  };
+  out.scan = [this](const std::string& prefix, size_t limit,
+                    const store::scan_callback& then) {
+    Dispatch(
+        "scan", prefix,
+        [this, prefix, limit, then](bool lose) {
+          ++reads_;
+          lose ? then(kLost) : then(Scan(prefix, limit));
+        },
+        [then] { then(kLost); }, [then] { then(kRefused); });
+  };
+  out.commit = [this](const store::transaction& change,
+                      const store::commit_callback& then) {
+    const std::string key =
+        change.mutations.empty() ? std::string() : change.mutations[0].key;
+    Dispatch(
+        "commit", key,
+        [this, change, then](bool lose) {
+          auto outcome = Commit(change);
+          if (lose) {
+            outcome = {store::commit_status::kUnknown, 0, "", kLost};
+          }
+          then(outcome);
+        },
+        [then] {
+          then({store::commit_status::kUnknown, 0, "", kLost});
+        },
+        [then] {
+          then({store::commit_status::kNotApplied, 0, "", kRefused});
+        });
+  };
+  return out;
+}
+
+store::object_store memory_store::objects() {
+  store::object_store out;
+  out.put = [this](const std::string& key, const std::string& bytes,
+                   const store::put_callback& then) {
+    Dispatch(
+        "put", key,
+        [this, key, bytes, then](bool lose) {
+          objects_[key] = bytes;
+          lose ? then(kLost) : then(done{});
+        },
+        [then] { then(kLost); }, [then] { then(kRefused); });
+  };
+  out.get = [this](const std::string& key, const store::get_callback& then) {
+    Dispatch(
+        "get", key,
+        [this, key, then](bool lose) {
+          if (lose) {
+            then(kLost);
+            return;
+          }
+          const auto at = objects_.find(key);
+          then(at == objects_.end() ? std::optional<std::string>()
+                                    : std::optional<std::string>(at->second));
+        },
+        [then] { then(kLost); }, [then] { then(kRefused); });
+  };
+  return out;
+}
+
+void memory_store::ReleaseHeld() {
+  const auto calls = std::exchange(held_, {});
+  for (const auto& call : calls) {
+    call.run();
+  }
+}
+
+void memory_store::DropHeld() {
+  const auto calls = std::exchange(held_, {});
+  for (const auto& call : calls) {
+    call.drop();
+  }
+}
+
+store::commit_outcome memory_store::Commit(const store::transaction& change) {
+  for (const auto& [key, version] : change.conditions) {
+    const auto at = rows_.find(key);
+    if ((at == rows_.end() ? 0 : at->second.version) != version) {
+      return {store::commit_status::kConflict, 0, key, {}};
+    }
+  }
+  ++last_version_;
+  ++commits_;
+  for (const auto& [key, value] : change.mutations) {
+    ++rows_written_;
+    if (value) {
+      rows_[key] = {key, *value, last_version_};
+    } else {
+      rows_.erase(key);
+    }
+  }
+  return {store::commit_status::kCommitted, last_version_, "", {}};
+}
+
+std::optional<store::row> memory_store::Read(const std::string& key) const {
+  const auto at = rows_.find(key);
+  return at == rows_.end() ? std::nullopt : std::optional(at->second);
+}
+
+std::vector<store::row> memory_store::Scan(const std::string& prefix,
+                                           size_t limit) const {
+  std::vector<store::row> out;
+  for (auto at = rows_.lower_bound(prefix);
+       at != rows_.end() && out.size() < limit &&
+       at->first.compare(0, prefix.size(), prefix) == 0;
+       ++at) {
+    out.push_back(at->second);
+  }
+  return out;
+}
+
+}  // namespace chiveglade::testing
