--- /dev/null
+++ b/src/app/settings_commands.cc
@@ -0,0 +1,67 @@
+#include <iostream>
+
+#include "chiveglade/config/reference.h"
+#include "chiveglade/config/settings.h"
+#include "command_line.h"
+#include "files.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+constexpr size_t kMaxSettingsBytes = 1024 * 1024;
+
+template <typename T>
+exit_code Check(const std::string& path,
+                config::checked<T> (*parse)(const std::string&,
+                                            const std::string&)) {
+  const auto text = ReadFile(path, kMaxSettingsBytes);
+  if (!text) {
+    std::cerr << text.last_reason().detail << "\n";
+    return exit_code::kInvalid;
+  }
+  const auto parsed = parse(*text, path);
+  for (const auto& problem : parsed.problems) {
+    std::cerr << config::ToString(problem) << "\n";
+  }
+  if (!parsed.value) {
+    return exit_code::kInvalid;
+  }
+  std::cout << path << ": no problems\n";
+  return exit_code::kDone;
+}
+
+}  // namespace
+
+void AddSettingsCommands(CLI::App& app, command_fn& chosen) {
+  auto* settings = app.add_subcommand("settings", "Check settings files");
+  settings->require_subcommand(1);
+  auto* check =
+      settings->add_subcommand("check", "Report every problem of a file");
+  static std::string role;
+  static std::string path;
+  check->add_option("role", role, "entry or agent")
+      ->required()
+      ->check(CLI::IsMember({"entry", "agent"}));
+  check->add_option("file", path, "Settings file, - for standard input")
+      ->required();
+  check->callback([&chosen] {
+    chosen = [] {
+      return role == "entry" ? Check(path, &config::ParseEntrySettings)
+                             : Check(path, &config::ParseAgentSettings);
+    };
+  });
+  auto* reference = settings->add_subcommand(
+      "reference", "Print the reference of the settings as Markdown");
+  reference->callback([&chosen] {
+    chosen = [] {
+      std::cout << "## Entry\n\n"
+                << config::ToMarkdown(config::EntrySettingsReference())
+                << "\n## Agent\n\n"
+                << config::ToMarkdown(config::AgentSettingsReference());
+      return exit_code::kDone;
+    };
+  });
+}
+
+}  // namespace chiveglade::app
--- /dev/null
+++ b/src/observe/metrics.cc
@@ -0,0 +1,185 @@
+#include "chiveglade/observe/metrics.h"
+
+#include <cassert>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace chiveglade::observe {
+
+namespace {
+
+// Upper bounds in seconds, about three per decade.
+const prometheus::Histogram::BucketBoundaries kDurationBuckets = {
+    0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+    0.25,    0.5,    1,     2.5,    5,     10,   30,    60};
+
+const char* KindName(metric_kind kind) {
+  switch (kind) {
+    case metric_kind::kCounter:
+      return "counter";
+    case metric_kind::kGauge:
+      return "gauge";
+    case metric_kind::kHistogram:
+      return "histogram";
+  }
+  return "";
+}
+
+}  // namespace
+
+const std::vector<metric_info>& MetricCatalogue() {
+  using kind = metric_kind;
+  static const std::vector<metric_info> catalogue = {
+      {"chiveglade_requests_total",
+       kind::kCounter,
+       {"tenant", "class", "verdict"},
+       "Callers' requests by outcome. may_have_run rising: targets die or "
+       "links break while requests are in flight."},
+      {"chiveglade_request_seconds",
+       kind::kHistogram,
+       {"tenant", "class"},
+       "Time from a request's header to the end of its answer."},
+      {"chiveglade_request_retries_total",
+       kind::kCounter,
+       {"reason"},
+       "Requests sent to another target after a refusal."},
+      {"chiveglade_refusals_total",
+       kind::kCounter,
+       {"reason"},
+       "Requests refused with not_run, by reason."},
+      {"chiveglade_open_requests",
+       kind::kGauge,
+       {},
+       "Requests being forwarded now."},
+      {"chiveglade_targets",
+       kind::kGauge,
+       {"service"},
+       "Targets in service that this entry knows."},
+      {"chiveglade_scheduler",
+       kind::kGauge,
+       {},
+       "1 if this entry is the scheduler. Alert if the sum over all entries is "
+       "not 1 for 15 s."},
+      {"chiveglade_scheduler_epoch",
+       kind::kGauge,
+       {},
+       "Epoch of the scheduler. Rising often: entries fail or the store is "
+       "slow."},
+      {"chiveglade_tasks",
+       kind::kGauge,
+       {"phase"},
+       "Tasks by phase, at the scheduler."},
+      {"chiveglade_vms", kind::kGauge, {}, "VMs known to the scheduler."},
+      {"chiveglade_quarantined_vms",
+       kind::kGauge,
+       {},
+       "VMs set aside because tasks fail on them. Alert if above 0 for a day."},
+      {"chiveglade_parked_jobs",
+       kind::kGauge,
+       {},
+       "Jobs that no VM can hold; see chiveglade job status."},
+      {"chiveglade_store_age_seconds",
+       kind::kGauge,
+       {},
+       "Age of the newest confirmed reading of the control rows. Alert above "
+       "5 s: the store is down or slow, nothing starts."},
+      {"chiveglade_manifest_version",
+       kind::kGauge,
+       {},
+       "Version of the manifest in effect here. Alert if two processes differ "
+       "for more than 9 s."},
+      {"chiveglade_agent_tasks",
+       kind::kGauge,
+       {"phase"},
+       "Attempts on this VM by phase, at the agent."},
+      {"chiveglade_agent_heartbeats_total",
+       kind::kCounter,
+       {"outcome"},
+       "Heartbeats sent by this agent."},
+      {"chiveglade_agent_queue",
+       kind::kGauge,
+       {"class"},
+       "Requests waiting at this agent."},
+  };
+  return catalogue;
+}
+
+std::string CatalogueMarkdown() {
+  std::string out =
+      "| metric | kind | labels | meaning |\n| --- | --- | --- | --- |\n";
+  for (const auto& info : MetricCatalogue()) {
+    std::string names;
+    for (const auto& name : info.label_names) {
+      names += (names.empty() ? "" : ", ") + name;
+    }
+    out += "| `" + info.name + "` | " + KindName(info.kind) + " | " + names +
+           " | " + info.meaning + " |\n";
+  }
+  return out;
+}
+
+struct metrics::families {
+  std::map<std::string, prometheus::Family<prometheus::Counter>*> counters;
+  std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges;
+  std::map<std::string, prometheus::Family<prometheus::Histogram>*> histograms;
+};
+
+metrics::metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      families_(std::make_unique<families>()) {
+  for (const auto& info : MetricCatalogue()) {
+    switch (info.kind) {
+      case metric_kind::kCounter:
+        families_->counters[info.name] = &prometheus::BuildCounter()
+                                              .Name(info.name)
+                                              .Help(info.meaning)
+                                              .Register(*registry_);
+        break;
+      case metric_kind::kGauge:
+        families_->gauges[info.name] = &prometheus::BuildGauge()
+                                            .Name(info.name)
+                                            .Help(info.meaning)
+                                            .Register(*registry_);
+        break;
+      case metric_kind::kHistogram:
+        families_->histograms[info.name] = &prometheus::BuildHistogram()
+                                                .Name(info.name)
+                                                .Help(info.meaning)
+                                                .Register(*registry_);
+        break;
+    }
+  }
+}
+
+metrics::~metrics() = default;
+
+void metrics::Increment(const std::string& name, const labels& at, double by) {
+  const auto family = families_->counters.find(name);
+  assert(family != families_->counters.end());
+  family->second->Add(at).Increment(by);
+}
+
+void metrics::Set(const std::string& name, const labels& at, double value) {
+  const auto family = families_->gauges.find(name);
+  assert(family != families_->gauges.end());
+  family->second->Add(at).Set(value);
+}
+
+void metrics::Observe(const std::string& name,
+                      const labels& at,
+                      double seconds) {
+  const auto family = families_->histograms.find(name);
+  assert(family != families_->histograms.end());
+  family->second->Add(at, kDurationBuckets).Observe(seconds);
+}
+
+std::string metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace chiveglade::observe
