--- a/include/chiveglade/state/heartbeat.h
+++ b/include/chiveglade/state/heartbeat.h
@@ -61,6 +61,9 @@
   int64_t tick = 0;       // the agent's own clock when this was made, ms
   uint64_t manifest_version = 0;
   bool leaving = false;  // takes no new requests
+  // True if `attempts` and `ends` were left out because the entry was not known
+  // as the scheduler. Absence from such a heartbeat proves nothing.
+  bool partial = false;
   std::vector<target_load> targets;
   std::vector<attempt_report> attempts;
   std::vector<end_report> ends;
--- a/include/chiveglade/state/ids.h
+++ b/include/chiveglade/state/ids.h
@@ -1,4 +1,5 @@
-// Identifiers of jobs, tasks and attempts.
+// Identifiers of jobs, tasks and attempts. The lint exceptions are for a false
+// alarm of clang-tidy 14 on the generated code of defaulted comparisons.
 #ifndef CHIVEGLADE_STATE_IDS_H_
 #define CHIVEGLADE_STATE_IDS_H_
 
@@ -14,6 +15,7 @@
   std::string job;
   uint32_t index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const task_id&, const task_id&) = default;
 };
 
@@ -23,6 +25,7 @@
   task_id task;
   uint32_t number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
 };
 
@@ -32,6 +35,7 @@
   std::string name;
   uint64_t incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const vm_id&, const vm_id&) = default;
 };
 
