sched: add the planner with placement, quotas, fair order and start limits

Cause: the scheduler needs decisions on which task starts where; other modules are integrated against the planner's interface. Ruled out: scanning all VMs for each task (bounded random samples instead); keeping a copy of the state (only per-VM sums and residents are kept).

--- /dev/null
+++ b/include/chiveglade/sched/planner_options.h
@@ -0,0 +1,67 @@
+// Tunable limits of the scheduling policy.
+#ifndef CHIVEGLADE_SCHED_PLANNER_OPTIONS_H_
+#define CHIVEGLADE_SCHED_PLANNER_OPTIONS_H_
+
+#include <cstdint>
+
+#include "chiveglade/core/clock.h"
+
+namespace chiveglade::sched {
+
+// How a VM is chosen among those with room. kFirstFit and kLeastLoaded are
+// baselines for comparison.
+enum class placement_rule : uint8_t { kScored, kFirstFit, kLeastLoaded };
+
+// How measured slowdowns are used. kIgnore and kEvictAtOnce are baselines for
+// comparison.
+enum class interference_rule : uint8_t { kLearned, kIgnore, kEvictAtOnce };
+
+struct planner_options {
+  placement_rule placement = placement_rule::kScored;
+  interference_rule interference = interference_rule::kLearned;
+
+  // VMs with room that are scored for one task. 16 random candidates find one
+  // in the best tenth of all VMs in four of five decisions.
+  uint32_t candidates = 16;
+
+  // Start limits per second, overall and on one VM.
+  uint32_t starts_per_second = 400;
+  uint32_t starts_per_vm_second = 8;
+
+  // How long a large task waits before it reserves a VM.
+  millis backfill_after{30'000};
+  // How long a job must fit no VM before it is parked. VMs announce themselves
+  // one by one after a restart of everything.
+  millis park_after{10'000};
+  // How long room is held for a task whose victims are stopping. Three times
+  // the default stop grace.
+  millis hold_time{10'000};
+
+  // Departure of a data centre: share of its attempts that may be stopping at
+  // one time, and the least number.
+  double departure_share = 0.10;
+  uint32_t departure_minimum = 4;
+  // Return of a data centre: share of its capacity that may be committed at
+  // first, and the time until all of it may be.
+  double return_first_share = 0.05;
+  millis return_ramp{60'000};
+
+  // Time constant of the lag between a neighbour's arrival and its effect on
+  // the reported slowdown.
+  millis measurement_lag{5'000};
+  // A task may join a latency-critical one if the predicted slowdown stays
+  // below this share of the limit.
+  double placement_margin = 0.95;
+  // Latency-critical classes with a slowdown limit at or below this are
+  // strict: batch classes without measurements are not tried beside them.
+  uint32_t strict_limit_pct = 110;
+
+  // Quarantine: largest share of workers, first wait before a probe, longest.
+  double quarantine_share = 0.10;
+  millis first_probe{60'000};
+  millis longest_probe{3'600'000};
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_PLANNER_OPTIONS_H_
--- /dev/null
+++ b/src/sched/demand_model.cc
@@ -0,0 +1,123 @@
+#include "src/sched/demand_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chiveglade::sched {
+namespace {
+
+// Buckets per doubling of the ratio, and the ratio of bucket 0.
+constexpr double kPerDoubling = 8;
+constexpr double kLowestRatio = 0.25;
+// Percentiles of fewer samples are mostly noise.
+constexpr double kFewestSamples = 20;
+// All counts are halved at this number, so that old reports fade.
+constexpr double kMostSamples = 4'000;
+// Weight of a new run time.
+constexpr double kRunWeight = 0.1;
+
+int64_t Corrected(int64_t declared, double ratio, int64_t capacity) {
+  const auto wanted =
+      static_cast<int64_t>(std::ceil(static_cast<double>(declared) * ratio));
+  return std::max(declared, std::min(wanted, capacity));
+}
+
+}  // namespace
+
+void ratio_histogram::Add(double ratio) {
+  const double position =
+      std::ceil(std::log2(std::max(ratio, 1e-6) / kLowestRatio) * kPerDoubling);
+  const auto bucket = static_cast<size_t>(
+      std::clamp(position, 0.0, static_cast<double>(buckets_.size() - 1)));
+  buckets_[bucket] += 1;
+  total_ += 1;
+  if (total_ < kMostSamples) {
+    return;
+  }
+  for (auto& count : buckets_) {
+    count /= 2;
+  }
+  total_ /= 2;
+}
+
+double ratio_histogram::Percentile90() const {
+  if (total_ < kFewestSamples) {
+    return 1;
+  }
+  double seen = 0;
+  for (size_t i = 0; i < buckets_.size(); ++i) {
+    seen += buckets_[i];
+    if (seen >= 0.9 * total_) {
+      return kLowestRatio * std::exp2(static_cast<double>(i) / kPerDoubling);
+    }
+  }
+  return 1;
+}
+
+void ratio_histogram::set_buckets(const std::array<float, 48>& buckets) {
+  buckets_ = buckets;
+  total_ = 0;
+  for (const auto count : buckets_) {
+    total_ += count;
+  }
+}
+
+demand_model::entry& demand_model::At(class_index klass) {
+  if (klass >= entries_.size()) {
+    entries_.resize(klass + 1U);
+  }
+  return entries_[klass];
+}
+
+void demand_model::ObserveUse(class_index klass,
+                              const resources& declared,
+                              const resources& used) {
+  auto& known = At(klass);
+  if (declared.millicores > 0) {
+    known.cores.Add(static_cast<double>(used.millicores) /
+                    static_cast<double>(declared.millicores));
+  }
+  if (declared.memory_mib > 0) {
+    known.memory.Add(static_cast<double>(used.memory_mib) /
+                     static_cast<double>(declared.memory_mib));
+  }
+}
+
+void demand_model::ObserveRun(class_index klass,
+                              millis declared,
+                              millis measured) {
+  if (declared.count() <= 0) {
+    return;
+  }
+  auto& known = At(klass);
+  const double ratio = static_cast<double>(measured.count()) /
+                       static_cast<double>(declared.count());
+  const double weight =
+      std::max(kRunWeight, 1.0 / static_cast<double>(++known.run_samples));
+  known.run_ratio +=
+      weight * (std::clamp(ratio, 0.01, 100.0) - known.run_ratio);
+}
+
+resources demand_model::Expected(class_index klass,
+                                 const resources& declared,
+                                 const resources& capacity) const {
+  if (klass >= entries_.size()) {
+    return declared;
+  }
+  const auto& known = entries_[klass];
+  return {Corrected(declared.millicores, known.cores.Percentile90(),
+                    capacity.millicores),
+          Corrected(declared.memory_mib, known.memory.Percentile90(),
+                    capacity.memory_mib),
+          declared.accelerators};
+}
+
+millis demand_model::ExpectedRun(class_index klass, millis declared) const {
+  if (klass >= entries_.size()) {
+    return declared;
+  }
+  return millis(static_cast<millis::rep>(static_cast<double>(declared.count()) *
+                                         entries_[klass].run_ratio));
+}
+
+}  // namespace chiveglade::sched
--- /dev/null
+++ b/src/sched/interference_model.cc
@@ -0,0 +1,100 @@
+#include "src/sched/interference_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chiveglade::sched {
+namespace {
+
+// Samples stop adding confidence here, so that a changed pair is relearned.
+constexpr double kMostSamples = 50;
+// Weight of a new sample once a pair is known.
+constexpr double kWeight = 0.15;
+// Weight of the prior, in samples.
+constexpr double kPriorSamples = 3;
+// Confidence halves in this time without measurements.
+constexpr double kHalfLifeMs = 3'600'000;
+// A single report is never taken for more than a tenfold slowdown.
+constexpr double kLargestSlowdown = 10;
+
+double Aged(double samples, boot_time updated, boot_time now) {
+  const auto age = static_cast<double>((now - updated).count());
+  return samples * std::exp2(-std::max(0.0, age) / kHalfLifeMs);
+}
+
+}  // namespace
+
+void interference_model::Observe(class_index victim,
+                                 std::span<const neighbour_count> neighbours,
+                                 double slowdown,
+                                 boot_time now) {
+  double predicted = 0;
+  double squares = 0;
+  for (const auto& [klass, count] : neighbours) {
+    predicted += count * Effect(victim, klass, now);
+    squares += count * count;
+  }
+  // Less than a quarter of a neighbour tells nothing about its effect.
+  if (squares < 0.0625) {
+    return;
+  }
+  const double measured = std::clamp(slowdown, 1.0, kLargestSlowdown) - 1;
+  const double error = measured - predicted;
+  for (const auto& [klass, count] : neighbours) {
+    if (count <= 0) {
+      continue;
+    }
+    const double share = count * count / squares;
+    auto& pair = At(victim, klass);
+    pair.samples = Aged(pair.samples, pair.updated, now);
+    pair.updated = now;
+    const double blended = Effect(victim, klass, now);
+    const double weight = std::max(kWeight, 1 / (1 + pair.samples)) * share;
+    pair.mean = std::max(0.0, pair.samples > 0 ? pair.mean : blended);
+    pair.mean = std::max(0.0, pair.mean + weight * error / count);
+    pair.samples = std::min(kMostSamples, pair.samples + share);
+  }
+}
+
+double interference_model::Effect(class_index victim,
+                                  class_index neighbour,
+                                  boot_time now) const {
+  const auto* pair = Find(victim, neighbour);
+  if (pair == nullptr) {
+    return kPrior;
+  }
+  const double samples = Aged(pair->samples, pair->updated, now);
+  return (samples * pair->mean + kPriorSamples * kPrior) /
+         (samples + kPriorSamples);
+}
+
+bool interference_model::Known(class_index victim,
+                               class_index neighbour,
+                               boot_time now) const {
+  const auto* pair = Find(victim, neighbour);
+  return pair != nullptr &&
+         Aged(pair->samples, pair->updated, now) >= kKnownSamples;
+}
+
+interference_model::pair_entry& interference_model::At(class_index victim,
+                                                       class_index neighbour) {
+  if (victim >= rows_.size()) {
+    rows_.resize(victim + 1U);
+  }
+  auto& row = rows_[victim];
+  if (neighbour >= row.size()) {
+    row.resize(neighbour + 1U);
+  }
+  return row[neighbour];
+}
+
+const interference_model::pair_entry* interference_model::Find(
+    class_index victim,
+    class_index neighbour) const {
+  if (victim >= rows_.size() || neighbour >= rows_[victim].size()) {
+    return nullptr;
+  }
+  return &rows_[victim][neighbour];
+}
+
+}  // namespace chiveglade::sched
--- /dev/null
+++ b/src/sched/preemption.h
@@ -0,0 +1,54 @@
+// Evicts lower bands for urgent and service work.
+#ifndef CHIVEGLADE_SCHED_PREEMPTION_H_
+#define CHIVEGLADE_SCHED_PREEMPTION_H_
+
+#include <optional>
+#include <vector>
+
+#include "src/sched/hold_table.h"
+#include "src/sched/placement.h"
+
+namespace chiveglade::sched {
+
+// True if a task of band `taker` may evict one of band `victim`. Normal work
+// evicts idle work only, which by definition fills unused room.
+constexpr bool MayEvict(state::band taker, state::band victim) {
+  return victim > taker;
+}
+
+// What stopping a resident costs, in milliseconds of work: what it has done
+// since its checkpoint, a fixed restart cost, and more for each time its task
+// was evicted before, so that no task is evicted over and over.
+double EvictionCost(const resident& victim);
+
+class preemption {
+ public:
+  preemption(const planner_options& options,
+             vm_index& index,
+             placement& places,
+             hold_table& holds);
+
+  // Evicts the cheapest victims on the cheapest of a sample of VMs and holds
+  // the room for the task. Returns false if no VM can be freed.
+  bool MakeRoom(const placement_request& request,
+                const state::task_id& task,
+                bool moving,
+                plan_draft& draft);
+
+  // Victims on one VM that free `amount`, cheapest first, or nothing if even
+  // all of a lower band would not be enough. Room already being freed by
+  // stopping attempts is counted.
+  static std::optional<std::vector<resident*>> Victims(vm_slot& slot,
+                                                       const resources& amount,
+                                                       state::band taker);
+
+ private:
+  const planner_options& options_;
+  vm_index& index_;
+  placement& places_;
+  hold_table& holds_;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_PREEMPTION_H_
--- /dev/null
+++ b/src/sched/starter.h
@@ -0,0 +1,80 @@
+// Starts pending tasks.
+#ifndef CHIVEGLADE_SCHED_STARTER_H_
+#define CHIVEGLADE_SCHED_STARTER_H_
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "src/sched/fair_order.h"
+#include "src/sched/hold_table.h"
+#include "src/sched/placement.h"
+#include "src/sched/preemption.h"
+#include "src/sched/quota.h"
+#include "src/sched/worker_health.h"
+
+namespace chiveglade::sched {
+
+// Goes through the bands from the highest down and, in fair order, grants
+// starts within quotas, start limits and room.
+class starter {
+ public:
+  // References to the planner's parts; all must outlive the starter.
+  struct parts {
+    const planner_options& options;
+    vm_index& index;
+    class_table& classes;
+    const demand_model& demand;
+    quota& quotas;
+    fair_order& order;
+    start_pacer& pacer;
+    placement& places;
+    preemption& evictions;
+    hold_table& holds;
+    worker_health& health;
+  };
+  explicit starter(const parts& with) : with_(with) {}
+
+  // Starts tasks whose held room has become free, then all others. Tasks that
+  // find no room are remembered until the next Run.
+  void Run(plan_draft& draft);
+  // Starts one task on the given VM if it has room and everything else allows
+  // it. Used for probes and for reservations.
+  bool StartOn(vm_slot& slot,
+               const state::job& job,
+               uint32_t index,
+               plan_draft& draft);
+
+  // The request for a task of the job. Valid until the next Run.
+  placement_request Request(const state::job& job, uint32_t index);
+  // Tasks that found no room in the last Run, one per job.
+  const std::vector<state::task_id>& without_room() const {
+    return without_room_;
+  }
+
+ private:
+  void StartHeld(plan_draft& draft);
+  void RunBand(state::band priority, plan_draft& draft);
+  // What became of one offer of a job.
+  enum class outcome : uint8_t { kStarted, kSkipTask, kSkipJob };
+  outcome TryTask(const state::job& job, uint32_t index, plan_draft& draft);
+  bool QuotaAllows(const state::job& job, plan_draft& draft);
+  void Grant(vm_slot& slot,
+             const state::job& job,
+             uint32_t index,
+             plan_draft& draft);
+  job_spread& SpreadOf(const state::job& job);
+  std::string SearchKey(const state::job_spec& spec) const;
+
+  parts with_;
+  std::unordered_map<std::string, job_spread> spreads_;
+  // Searches that failed in this plan, by everything the result depends on.
+  std::unordered_map<std::string, obstacle> failed_;
+  std::vector<state::task_id> without_room_;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_STARTER_H_
--- /dev/null
+++ b/src/sched/vm_index.cc
@@ -0,0 +1,223 @@
+#include "src/sched/vm_index.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace chiveglade::sched {
+namespace {
+
+// One in this many VMs is read again in each plan, at 10 plans a second each
+// VM about every 6 s.
+constexpr size_t kTurns = 64;
+
+resources Largest(const resources& a, const resources& b) {
+  return {std::max(a.millicores, b.millicores),
+          std::max(a.memory_mib, b.memory_mib),
+          std::max(a.accelerators, b.accelerators)};
+}
+
+// Carries measurements over to the same attempt.
+void KeepMeasurements(const std::vector<resident>& before, resident& now) {
+  for (const auto& old : before) {
+    if (old.job_hash == now.job_hash && old.attempt == now.attempt) {
+      now.work_done = old.work_done;
+      now.first_seen = old.first_seen;
+      return;
+    }
+  }
+}
+
+}  // namespace
+
+void vm_index::Sync(const state::cluster_state& state,
+                    const cluster_view& view,
+                    class_table& classes,
+                    const demand_model& demand) {
+  SyncSlots(state);
+  turn_ = (turn_ + 1) % kTurns;
+  size_t position = 0;
+  for (const auto& [name, vm] : state.vms()) {
+    auto& slot = slots_[position];
+    slot.dirty = slot.dirty || position % kTurns == turn_;
+    SyncSlot(slot, vm, state, classes, demand, view.now);
+    ++position;
+  }
+  SyncDataCentres(view);
+  largest_ = {};
+  for (auto& slot : slots_) {
+    const auto& name = slot.name;
+    slot.drained = state.drained().contains(name);
+    slot.quarantined = state.quarantined().contains(name);
+    auto& data_centre = data_centres_[slot.data_centre];
+    slot.startable = !slot.drained && !slot.quarantined &&
+                     data_centre.phase != data_centre_phase::kOut &&
+                     !view.silent.contains(name);
+    slot.held = {};
+    slot.reserved = false;
+    data_centre.capacity += slot.capacity;
+    data_centre.committed += slot.committed;
+    largest_ = Largest(largest_, slot.capacity);
+    Refresh(slot);
+  }
+}
+
+void vm_index::SyncSlots(const state::cluster_state& state) {
+  bool same = slots_.size() == state.vms().size();
+  auto slot = slots_.begin();
+  for (auto it = state.vms().begin(); same && it != state.vms().end();
+       ++it, ++slot) {
+    same = slot->name == it->first;
+  }
+  if (same) {
+    return;
+  }
+  std::vector<vm_slot> fresh;
+  fresh.reserve(state.vms().size());
+  for (const auto& [name, vm] : state.vms()) {
+    if (const auto it = by_name_.find(name); it != by_name_.end()) {
+      fresh.push_back(std::move(slots_[it->second]));
+    } else {
+      fresh.push_back({.name = name});
+    }
+  }
+  slots_ = std::move(fresh);
+  rooms_.assign(slots_.size(), {});
+  by_name_.clear();
+  for (size_t i = 0; i < slots_.size(); ++i) {
+    by_name_.emplace(slots_[i].name, i);
+  }
+  ++generation_;
+}
+
+void vm_index::SyncDataCentres(const cluster_view& view) {
+  for (auto& data_centre : data_centres_) {
+    data_centre.capacity = {};
+    data_centre.committed = {};
+    data_centre.ramp = 1;
+    data_centre.phase = data_centre_phase::kIn;
+    const auto phase = view.data_centres.find(data_centre.name);
+    if (phase == view.data_centres.end()) {
+      continue;
+    }
+    data_centre.phase = phase->second;
+    const auto since = view.returned_at.find(data_centre.name);
+    if (phase->second != data_centre_phase::kReturning) {
+      continue;
+    }
+    const double passed =
+        since == view.returned_at.end()
+            ? 0
+            : static_cast<double>((view.now - since->second).count()) /
+                  static_cast<double>(options_.return_ramp.count());
+    data_centre.ramp = std::clamp(
+        options_.return_first_share +
+            (1 - options_.return_first_share) * std::max(0.0, passed),
+        0.0, 1.0);
+  }
+}
+
+void vm_index::SyncSlot(vm_slot& slot,
+                        const state::vm& vm,
+                        const state::cluster_state& state,
+                        class_table& classes,
+                        const demand_model& demand,
+                        boot_time now) {
+  const bool changed =
+      slot.incarnation != vm.id.incarnation || slot.capacity != vm.capacity;
+  if (!changed && !slot.dirty && slot.committed == vm.committed &&
+      slot.residents.size() == vm.tasks.size()) {
+    return;
+  }
+  if (changed) {
+    ++generation_;
+  }
+  slot.incarnation = vm.id.incarnation;
+  slot.data_centre = DataCentreFor(vm.data_centre);
+  slot.rack = rack_numbers_
+                  .emplace(vm.data_centre + "/" + vm.rack, rack_numbers_.size())
+                  .first->second;
+  slot.capacity = vm.capacity;
+  slot.committed = vm.committed;
+  slot.expected = {};
+  slot.dirty = false;
+  const std::vector<resident> before = std::move(slot.residents);
+  slot.residents.clear();
+  slot.residents.reserve(vm.tasks.size());
+  for (const auto& id : vm.tasks) {
+    const auto* job = state.FindJob(id.job);
+    if (job == nullptr || id.index >= job->tasks.size()) {
+      continue;
+    }
+    const auto& task = job->tasks[id.index];
+    resident added{.attempt = {id, task.attempt},
+                   .job_hash = std::hash<std::string>{}(id.job),
+                   .klass = classes.Index(job->spec.klass),
+                   .priority = job->spec.priority,
+                   .declared = job->spec.per_task,
+                   .checkpointed = task.work_done,
+                   .first_seen = now,
+                   .evictions = task.evictions,
+                   .stopping = task.phase == state::task_phase::kStopping};
+    added.expected = demand.Expected(added.klass, added.declared, vm.capacity);
+    KeepMeasurements(before, added);
+    slot.expected += added.expected;
+    slot.residents.push_back(std::move(added));
+  }
+}
+
+uint16_t vm_index::DataCentreFor(const std::string& name) {
+  const auto [it, added] = data_centre_numbers_.emplace(
+      name, static_cast<uint16_t>(data_centres_.size()));
+  if (added) {
+    data_centres_.push_back({.name = name});
+  }
+  return it->second;
+}
+
+vm_slot* vm_index::Find(const std::string& name) {
+  const auto it = by_name_.find(name);
+  return it == by_name_.end() ? nullptr : &slots_[it->second];
+}
+
+int vm_index::DataCentre(const std::string& name) const {
+  const auto it = data_centre_numbers_.find(name);
+  return it == data_centre_numbers_.end() ? -1 : it->second;
+}
+
+void vm_index::Grant(vm_slot& slot, resident added) {
+  slot.committed += added.declared;
+  slot.expected += added.expected;
+  data_centres_[slot.data_centre].committed += added.declared;
+  slot.residents.push_back(std::move(added));
+  slot.dirty = true;
+  Refresh(slot);
+}
+
+void vm_index::Hold(vm_slot& slot, const resources& amount) {
+  slot.held += amount;
+  Refresh(slot);
+}
+
+void vm_index::Refresh(const vm_slot& slot) {
+  auto& room = rooms_[Position(slot)];
+  room.free =
+      slot.capacity - slot.held - Largest(slot.committed, slot.expected);
+  room.data_centre = slot.data_centre;
+  room.startable = slot.startable;
+}
+
+bool vm_index::RampAllows(uint16_t data_centre, const resources& amount) const {
+  const auto& place = data_centres_[data_centre];
+  if (place.ramp >= 1) {
+    return true;
+  }
+  const auto part = [&](int64_t whole) {
+    return static_cast<int64_t>(static_cast<double>(whole) * place.ramp);
+  };
+  return FitsWithin(
+      place.committed + amount,
+      {part(place.capacity.millicores), part(place.capacity.memory_mib),
+       part(place.capacity.accelerators)});
+}
+
+}  // namespace chiveglade::sched
