Add the pure parts of routing

Cause: entries and agents need to decide where a request goes, when it may run and what its caller is told, apart from any socket.

Ruled out: an average load per data centre for the preference; all entries would move their traffic at once whenever the average crossed the limit. The winners of two choices in each part are compared instead. An index row for the expiry of claims; it would double the rows written for each booking.

--- /dev/null
+++ b/include/chiveglade/routing/claim_book.h
@@ -0,0 +1,144 @@
+// Makes sure that a request with an Idempotency-Key runs at most once.
+#ifndef CHIVEGLADE_ROUTING_CLAIM_BOOK_H_
+#define CHIVEGLADE_ROUTING_CLAIM_BOOK_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "chiveglade/core/clock.h"
+#include "chiveglade/core/random.h"
+#include "chiveglade/core/result.h"
+#include "chiveglade/routing/claim.h"
+#include "chiveglade/store/table.h"
+
+namespace chiveglade::routing {
+
+struct claim_options {
+  std::string entry;                 // name of this entry
+  size_t max_answer_bytes = 32'768;  // of the body stored for repeats
+  uint32_t tries = 4;                // writes of one row before giving up
+  millis first_wait{50};             // between tries or polls; doubles
+  millis longest_wait{500};
+  millis lifetime{24 * 3'600'000};
+  friend bool operator==(const claim_options&, const claim_options&) = default;
+};
+
+// All of these must be safe to call from any thread.
+struct claim_hooks {
+  store::table_service table;
+  clock_fn clock;
+  std::function<int64_t()> unix_ms;  // comparable between entries, for expiry
+  random_fn random;
+  // Calls back once after a time, from any thread.
+  std::function<void(millis, std::function<void()>)> after;
+};
+
+struct claim_request {
+  std::string tenant;
+  std::string idempotency_key;
+  std::string fingerprint;
+  boot_time deadline;  // until when a repeat waits for the first answer
+};
+
+// The right to forward one request, held by the entry that claimed it.
+struct claim {
+  std::string key;
+  uint64_t version = 0;
+  claim_value value;
+  friend bool operator==(const claim&, const claim&) = default;
+};
+
+// `kClaimed`: forward the request, then call Settle or Release, or neither if
+// it may have run. `kAnswered`: the first answer. `kMayHaveRun`: another entry
+// claimed it and has not answered in time. `kMismatch`: the key belongs to a
+// different request. `kUnavailable`: the store did not confirm the claim;
+// nothing was forwarded.
+enum class claim_status {
+  kClaimed,
+  kAnswered,
+  kMayHaveRun,
+  kMismatch,
+  kUnavailable
+};
+
+struct claim_reply {
+  claim_status status = claim_status::kUnavailable;
+  claim held;            // kClaimed
+  stored_answer answer;  // kAnswered
+};
+
+// Claims rows `claim/<tenant>/<hash of key>`, see the design, section 4.6.
+// Thread-safe; holds no lock while it calls a hook or a callback. Must be held
+// by a shared pointer; calls in progress keep it alive.
+class claim_book : public std::enable_shared_from_this<claim_book> {
+ public:
+  using claim_callback = std::function<void(claim_reply)>;
+  using done_callback = std::function<void(result<done>)>;
+
+  static std::shared_ptr<claim_book> Make(claim_options options,
+                                          claim_hooks hooks);
+
+  // Claims the request or finds out who did. Calls `then` exactly once.
+  void Claim(claim_request request, claim_callback then);
+
+  // Stores the whole answer for repeats. If the store does not confirm it, the
+  // claim stays as it is and repeats are told may_have_run.
+  void Settle(const claim& held,
+              stored_answer answer,
+              const done_callback& then);
+
+  // Removes the claim of a request that certainly did not run.
+  void Release(const claim& held, const done_callback& then);
+
+  // Takes one step through the claims of `tenants` and deletes at most
+  // `max_rows` expired ones, in one transaction; `then` receives the number.
+  // At most one sweep at a time; another one deletes nothing.
+  void Sweep(const std::vector<std::string>& tenants,
+             size_t max_rows,
+             std::function<void(size_t)> then);
+
+ private:
+  struct claim_operation;
+  using operation_ptr = std::shared_ptr<claim_operation>;
+
+  claim_book(claim_options options, claim_hooks hooks);
+
+  void WriteClaim(const operation_ptr& op, uint64_t over_version);
+  void ReadClaim(const operation_ptr& op);
+  void OnRow(const operation_ptr& op, const store::row& found);
+  void TryAgain(const operation_ptr& op);
+  void GiveUp(const operation_ptr& op);
+  void Replace(const claim& held,
+               std::optional<std::string> value,
+               uint32_t tries,
+               const done_callback& then);
+  void ConfirmReplaced(const claim& held,
+                       const std::optional<std::string>& value,
+                       const done_callback& then);
+  millis WaitAfter(uint32_t tries) const;
+  void Abandon(uint64_t nonce);
+  bool IsAbandoned(uint64_t nonce) const;
+  void DeleteExpired(const std::vector<store::row>& rows,
+                     size_t max_rows,
+                     const std::function<void(size_t)>& then);
+
+  const claim_options options_;
+  const claim_hooks hooks_;
+  mutable std::mutex mutex_;
+  // Nonces of claims of this process whose requests were certainly not
+  // forwarded, but whose rows may still exist or appear.
+  std::unordered_set<uint64_t> abandoned_;
+  std::deque<uint64_t> abandoned_order_;
+  std::vector<std::string> sweep_prefixes_;  // still to be scanned
+  bool sweeping_ = false;
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_ROUTING_CLAIM_BOOK_H_
--- /dev/null
+++ b/include/chiveglade/routing/retry_budget.h
@@ -0,0 +1,46 @@
+// Limits the extra load that retries cause.
+#ifndef CHIVEGLADE_ROUTING_RETRY_BUDGET_H_
+#define CHIVEGLADE_ROUTING_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+#include <mutex>
+
+#include "chiveglade/core/clock.h"
+
+namespace chiveglade::routing {
+
+// Allows retries up to a share of the requests of the last ten seconds, and
+// always at least a fixed rate. Thread-safe.
+class retry_budget {
+ public:
+  explicit retry_budget(clock_fn clock,
+                        uint32_t percent = 20,
+                        uint32_t minimum_per_second = 3);
+
+  // Counts a request that is not a retry.
+  void OnRequest();
+
+  // Takes one retry from the budget; false if none is left.
+  bool TryRetry();
+
+ private:
+  static constexpr size_t kWindowSeconds = 10;
+  struct second {
+    int64_t number = -1;
+    uint64_t requests = 0;
+    uint64_t retries = 0;
+  };
+
+  second& Current();
+
+  clock_fn clock_;
+  uint32_t percent_;
+  uint32_t minimum_per_second_;
+  std::mutex mutex_;
+  std::array<second, kWindowSeconds> window_;
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_ROUTING_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/routing/outcome.cc
@@ -0,0 +1,23 @@
+#include "chiveglade/routing/outcome.h"
+
+namespace chiveglade::routing {
+
+outcome Judge(try_end end, bool idempotent) {
+  switch (end) {
+    case try_end::kEntryRefused:
+      return {verdict::kNotRun, false, false};
+    case try_end::kConnectFailed:
+    case try_end::kAgentRefused:
+    case try_end::kStreamRefused:
+      return {verdict::kNotRun, true, false};
+    case try_end::kLost:
+      return {verdict::kMayHaveRun, idempotent, false};
+    case try_end::kAnswerTruncated:
+      return {verdict::kMayHaveRun, false, true};
+    case try_end::kAnswered:
+      return {verdict::kRan, false, false};
+  }
+  return {verdict::kMayHaveRun, false, false};
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/src/routing/target_directory.cc
@@ -0,0 +1,314 @@
+#include "chiveglade/routing/target_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chiveglade::routing {
+
+namespace {
+
+// Requests leave the entry's own data centre only if the load there is above
+// this multiple of the load elsewhere...
+constexpr double kRemotePreference = 1.5;
+// ...and above this share of the slots: while slots are free, a request gains
+// nothing from the longer way.
+constexpr double kBusyShare = 0.5;
+
+// Random picks before the whole list is scanned. With a third of the targets
+// unusable, eight picks find none in one case of 6,500.
+constexpr int kRandomPicks = 8;
+
+// Decides whether a target may be chosen now.
+struct eligibility {
+  boot_time now;
+  int64_t seen_after_ms;
+  const std::vector<std::string>& exclude;
+
+  bool operator()(const target& at, bool ignore_ejection) const {
+    const auto& vm = at.vm();
+    return vm.last_seen_ms.load(std::memory_order_relaxed) > seen_after_ms &&
+           !vm.leaving.load(std::memory_order_relaxed) &&
+           !vm.out.load(std::memory_order_relaxed) &&
+           (ignore_ejection || !at.IsEjected(now)) &&
+           std::find(exclude.begin(), exclude.end(), vm.name) == exclude.end();
+  }
+};
+
+// The one with the lower load, weighted by latency if both are known.
+const target_ptr& Better(const target_ptr& a, const target_ptr& b) {
+  double a_score = a->utilisation() + 0.1;
+  double b_score = b->utilisation() + 0.1;
+  if (const auto la = a->latency_us(), lb = b->latency_us(); la && lb) {
+    a_score *= la;
+    b_score *= lb;
+  }
+  return a_score <= b_score ? a : b;
+}
+
+template <typename Accept>
+target_ptr PickOfTwo(const std::vector<target_ptr>& from,
+                     const Accept& accept,
+                     const random_fn& random) {
+  if (from.empty()) {
+    return nullptr;
+  }
+  target_ptr first;
+  for (int i = 0; i < kRandomPicks; ++i) {
+    const auto& picked = from[random() % from.size()];
+    if (picked == first || !accept(*picked)) {
+      continue;
+    }
+    if (first) {
+      return Better(first, picked);
+    }
+    first = picked;
+  }
+  if (first && from.size() > kRandomPicks) {
+    return first;
+  }
+  const size_t offset = random() % from.size();
+  for (size_t i = 0; i < from.size(); ++i) {
+    const auto& next = from[(offset + i) % from.size()];
+    if (next == first || !accept(*next)) {
+      continue;
+    }
+    if (first) {
+      return Better(first, next);
+    }
+    first = next;
+  }
+  return first;
+}
+
+bool SameTargets(const std::vector<target_ptr>& have,
+                 const std::vector<state::target_load>& reported) {
+  return std::equal(have.begin(), have.end(), reported.begin(), reported.end(),
+                    [](const target_ptr& a, const state::target_load& b) {
+                      return a->service() == b.service;
+                    });
+}
+
+}  // namespace
+
+result<std::shared_ptr<target_directory>> target_directory::Make(
+    directory_options options,
+    clock_fn clock) {
+  if (options.heartbeat <= millis(0) || options.missed_heartbeats == 0 ||
+      options.failures_to_eject == 0 || options.first_ejection <= millis(0)) {
+    return reason{"bad_options", "periods and limits must be above zero"};
+  }
+  return std::shared_ptr<target_directory>(
+      new target_directory(std::move(options), std::move(clock)));
+}
+
+target_directory::target_directory(directory_options options, clock_fn clock)
+    : options_(std::move(options)), clock_(std::move(clock)) {}
+
+void target_directory::OnHeartbeat(const state::heartbeat& in) {
+  vm_map::accessor at;
+  const bool added = vms_.insert(at, in.vm.name);
+  vm_entry& entry = at->second;
+  const bool same_vm = !added && entry.incarnation == in.vm.incarnation;
+  // Ticks come from a clock that an agent's restart does not reset.
+  if (same_vm && in.tick < entry.tick) {
+    return;
+  }
+  if (!added && !same_vm && in.vm.incarnation == entry.previous_incarnation) {
+    return;
+  }
+  if (!same_vm) {
+    entry.previous_incarnation = entry.incarnation;
+    entry.incarnation = in.vm.incarnation;
+  }
+  entry.tick = in.tick;
+  if (!same_vm || entry.record->address != in.address ||
+      entry.record->data_centre != in.data_centre ||
+      !SameTargets(entry.targets, in.targets)) {
+    Rebuild(in, entry);
+  }
+  for (size_t i = 0; i < entry.targets.size(); ++i) {
+    entry.targets[i]->SetLoad(in.targets[i]);
+  }
+  entry.record->leaving = in.leaving;
+  entry.record->last_seen_ms = clock_().time_since_epoch().count();
+}
+
+void target_directory::Rebuild(const state::heartbeat& in, vm_entry& entry) {
+  Remove(entry);
+  auto record = std::make_shared<vm_record>();
+  record->name = in.vm.name;
+  record->data_centre = in.data_centre;
+  record->address = in.address;
+  {
+    const std::lock_guard lock(members_mutex_);
+    record->out = out_.vms.count(record->name) != 0 ||
+                  out_.data_centres.count(record->data_centre) != 0;
+    members_[record->name] = record;
+  }
+  entry.record = record;
+  const ejection_rule rule{options_.failures_to_eject, options_.first_ejection,
+                           options_.longest_ejection};
+  for (const auto& load : in.targets) {
+    entry.targets.push_back(std::make_shared<target>(
+        load.service, record, HealthOf(load.service), rule));
+    entry.targets.back()->SetLoad(load);
+  }
+  record->last_seen_ms = clock_().time_since_epoch().count();
+  for (const auto& each : entry.targets) {
+    Link(each);
+  }
+}
+
+void target_directory::Remove(vm_entry& entry) {
+  for (const auto& each : entry.targets) {
+    Unlink(each);
+  }
+  entry.targets.clear();
+}
+
+bool target_directory::IsLocal(const target& at) const {
+  return at.vm().data_centre == options_.data_centre;
+}
+
+std::shared_ptr<service_health> target_directory::HealthOf(
+    const std::string& service) {
+  service_map::accessor at;
+  if (services_.insert(at, service)) {
+    auto list = std::make_shared<service_list>();
+    list->health = std::make_shared<service_health>();
+    at->second = std::move(list);
+  }
+  return at->second->health;
+}
+
+void target_directory::Link(const target_ptr& added) {
+  service_map::accessor at;
+  // HealthOf has made the list, and lists are never erased.
+  services_.find(at, added->service());
+  auto next = std::make_shared<service_list>(*at->second);
+  (IsLocal(*added) ? next->local : next->remote).push_back(added);
+  at->second = std::move(next);
+}
+
+void target_directory::Unlink(const target_ptr& removed) {
+  service_map::accessor at;
+  if (!services_.find(at, removed->service())) {
+    return;
+  }
+  auto next = std::make_shared<service_list>(*at->second);
+  std::erase(IsLocal(*removed) ? next->local : next->remote, removed);
+  at->second = std::move(next);
+}
+
+void target_directory::SetOutOfService(std::set<std::string> data_centres,
+                                       std::set<std::string> vms) {
+  const std::lock_guard lock(members_mutex_);
+  out_ = {std::move(data_centres), std::move(vms)};
+  for (const auto& [name, record] : members_) {
+    record->out = out_.vms.count(name) != 0 ||
+                  out_.data_centres.count(record->data_centre) != 0;
+  }
+}
+
+millis target_directory::silence_limit() const {
+  return options_.heartbeat * options_.missed_heartbeats;
+}
+
+void target_directory::Expire() {
+  const int64_t limit = (clock_() - silence_limit()).time_since_epoch().count();
+  std::vector<std::string> silent;
+  {
+    const std::lock_guard lock(members_mutex_);
+    for (const auto& [name, record] : members_) {
+      if (record->last_seen_ms <= limit) {
+        silent.push_back(name);
+      }
+    }
+  }
+  for (const auto& name : silent) {
+    vm_map::accessor at;
+    // A heartbeat may have come in since.
+    if (!vms_.find(at, name) || at->second.record->last_seen_ms > limit) {
+      continue;
+    }
+    Remove(at->second);
+    {
+      const std::lock_guard lock(members_mutex_);
+      members_.erase(name);
+    }
+    vms_.erase(at);
+  }
+}
+
+target_directory::service_list_ptr target_directory::ListOf(
+    const std::string& service) const {
+  service_map::const_accessor at;
+  return services_.find(at, service) ? at->second : nullptr;
+}
+
+result<open_request> target_directory::Choose(
+    const std::string& service,
+    const std::vector<std::string>& exclude,
+    const random_fn& random) const {
+  const reason none{"no_target", "no target of " + service + " is in service"};
+  const auto list = ListOf(service);
+  if (!list) {
+    return none;
+  }
+  const boot_time now = clock_();
+  const eligibility eligible{
+      now, (now - silence_limit()).time_since_epoch().count(), exclude};
+  const size_t all = list->local.size() + list->remote.size();
+  const auto unhealthy = static_cast<size_t>(
+      std::max(list->health->unhealthy.load(std::memory_order_relaxed), 0));
+  const bool noise = unhealthy * 3 > all;
+  const auto accept = [&](const target& at) { return eligible(at, noise); };
+  const auto local = PickOfTwo(list->local, accept, random);
+  if (local && local->utilisation() <= kBusyShare) {
+    return open_request(local);
+  }
+  const auto remote = PickOfTwo(list->remote, accept, random);
+  if (!local && !remote) {
+    return none;
+  }
+  if (!local || (remote && local->utilisation() >
+                               kRemotePreference * remote->utilisation())) {
+    return open_request(remote);
+  }
+  return open_request(local);
+}
+
+std::vector<target_status> target_directory::Status(
+    const std::string& service) const {
+  std::vector<target_status> out;
+  const auto list = ListOf(service);
+  if (!list) {
+    return out;
+  }
+  const boot_time now = clock_();
+  const std::vector<std::string> exclude;
+  const eligibility eligible{
+      now, (now - silence_limit()).time_since_epoch().count(), exclude};
+  for (const auto* part : {&list->local, &list->remote}) {
+    for (const auto& each : *part) {
+      const auto& vm = each->vm();
+      out.push_back({vm.name, vm.data_centre, vm.address,
+                     each->load() - each->own_open(), each->own_open(),
+                     eligible(*each, true), each->IsEjected(now)});
+    }
+  }
+  std::sort(out.begin(), out.end(),
+            [](const auto& a, const auto& b) { return a.vm < b.vm; });
+  return out;
+}
+
+std::set<std::string> target_directory::Addresses() const {
+  const std::lock_guard lock(members_mutex_);
+  std::set<std::string> out;
+  for (const auto& [name, record] : members_) {
+    out.insert(record->address);
+  }
+  return out;
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/tests/routing/outcome_test.cc
@@ -0,0 +1,60 @@
+#include "chiveglade/routing/outcome.h"
+
+#include <catch2/catch.hpp>
+
+#include "chiveglade/routing/retry_budget.h"
+
+namespace chiveglade::routing {
+
+// Guards against any row of the verdict table (design, 4.6) being told wrongly:
+// a wrong not_run makes callers run work twice.
+TEST_CASE("each way to end has the verdict of the table") {
+  struct row {
+    try_end end;
+    bool idempotent;
+    outcome expected;
+  };
+  const row rows[] = {
+      {try_end::kEntryRefused, true, {verdict::kNotRun, false, false}},
+      {try_end::kEntryRefused, false, {verdict::kNotRun, false, false}},
+      {try_end::kConnectFailed, false, {verdict::kNotRun, true, false}},
+      {try_end::kAgentRefused, false, {verdict::kNotRun, true, false}},
+      {try_end::kStreamRefused, false, {verdict::kNotRun, true, false}},
+      {try_end::kLost, false, {verdict::kMayHaveRun, false, false}},
+      {try_end::kLost, true, {verdict::kMayHaveRun, true, false}},
+      {try_end::kAnswerTruncated, true, {verdict::kMayHaveRun, false, true}},
+      {try_end::kAnswerTruncated, false, {verdict::kMayHaveRun, false, true}},
+      {try_end::kAnswered, false, {verdict::kRan, false, false}},
+  };
+  for (const auto& each : rows) {
+    CAPTURE(static_cast<int>(each.end), each.idempotent);
+    CHECK(Judge(each.end, each.idempotent) == each.expected);
+  }
+}
+
+// Guards against retries that multiply the load of an outage, and against a
+// budget that allows none while there is little traffic.
+TEST_CASE("retries are a share of the requests and never below a fixed rate") {
+  boot_time now{millis(1'000'000)};
+  retry_budget budget([&] { return now; });
+  int taken = 0;
+  while (budget.TryRetry()) {
+    ++taken;
+  }
+  CHECK(taken == 30);  // 3 a second over the window of 10 s
+  now += millis(10'000);
+  for (int i = 0; i < 1'000; ++i) {
+    budget.OnRequest();
+  }
+  taken = 0;
+  while (budget.TryRetry()) {
+    ++taken;
+  }
+  CHECK(taken == 200);
+  now += millis(9'000);
+  CHECK_FALSE(budget.TryRetry());
+  now += millis(1'000);
+  CHECK(budget.TryRetry());
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/tests/routing/target_directory_test.cc
@@ -0,0 +1,203 @@
+#include "chiveglade/routing/target_directory.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace chiveglade::routing {
+
+namespace {
+
+struct fixture {
+  boot_time now{millis(1'000'000)};
+  random_engine engine{7};
+  random_fn random = [this] { return engine(); };
+  std::shared_ptr<target_directory> directory =
+      *target_directory::Make({"east"}, [this] { return now; });
+  int64_t tick = 0;
+
+  state::heartbeat Beat(const std::string& vm,
+                        const std::string& data_centre = "east",
+                        uint32_t in_use = 0) {
+    state::heartbeat out;
+    out.vm = {vm, 1};
+    out.data_centre = data_centre;
+    out.address = vm + ":1";
+    out.tick = ++tick;
+    out.targets = {{"s", 8, in_use, 0, 1'000}};
+    return out;
+  }
+  void AddMany(int count, const std::string& data_centre = "east") {
+    for (int i = 0; i < count; ++i) {
+      directory->OnHeartbeat(
+          Beat(data_centre + std::to_string(i), data_centre));
+    }
+  }
+  std::map<std::string, int> Chosen(
+      int times,
+      const std::vector<std::string>& exclude = {}) {
+    std::map<std::string, int> out;
+    for (int i = 0; i < times; ++i) {
+      if (auto got = directory->Choose("s", exclude, random)) {
+        ++out[got->vm()];
+      }
+    }
+    return out;
+  }
+};
+
+}  // namespace
+
+// Guards against requests to targets that are silent, leaving, taken out or
+// already tried (invariant 8).
+TEST_CASE_METHOD(fixture, "only targets in service are chosen") {
+  CHECK(directory->Choose("s", {}, random).last_reason().code == "no_target");
+  AddMany(3);
+  CHECK(Chosen(100).size() == 3);
+  CHECK(Chosen(100, {"east0", "east1"}) ==
+        std::map<std::string, int>{{"east2", 100}});
+  auto leaving = Beat("east0");
+  leaving.leaving = true;
+  directory->OnHeartbeat(leaving);
+  CHECK(Chosen(100).count("east0") == 0);
+  directory->SetOutOfService({}, {"east1"});
+  CHECK(Chosen(100) == std::map<std::string, int>{{"east2", 100}});
+  directory->SetOutOfService({"east"}, {});
+  CHECK(Chosen(10).empty());
+  directory->OnHeartbeat(Beat("east9"));
+  CHECK(Chosen(10).empty());
+  directory->SetOutOfService({}, {});
+  now += millis(2'999);
+  CHECK(Chosen(100).size() == 3);
+  now += millis(1);
+  CHECK(Chosen(100).empty());
+  directory->Expire();
+  CHECK(directory->Status("s").empty());
+  CHECK(directory->Addresses().empty());
+}
+
+// Guards against a delayed heartbeat that brings back a target that is leaving
+// or an earlier incarnation of a VM.
+TEST_CASE_METHOD(fixture, "older heartbeats change nothing") {
+  const auto early = Beat("a");
+  auto late = Beat("a");
+  late.leaving = true;
+  directory->OnHeartbeat(late);
+  directory->OnHeartbeat(early);
+  CHECK(Chosen(10).empty());
+  auto replaced = Beat("a");
+  replaced.vm.incarnation = 2;
+  replaced.tick = 0;
+  replaced.address = "new:1";
+  directory->OnHeartbeat(replaced);
+  directory->OnHeartbeat(late);
+  CHECK(directory->Status("s").at(0).address == "new:1");
+  CHECK(Chosen(10).size() == 1);
+}
+
+// Guards against load that piles up on few targets, and against own requests
+// that are not counted until the next heartbeat.
+TEST_CASE_METHOD(fixture, "open requests spread over the targets") {
+  AddMany(10);
+  std::vector<open_request> open;
+  open.reserve(100);
+  for (int i = 0; i < 100; ++i) {
+    open.push_back(*directory->Choose("s", {}, random));
+  }
+  for (const auto& each : directory->Status("s")) {
+    CHECK(each.open >= 6);
+    CHECK(each.open <= 13);
+  }
+  open.clear();
+  CHECK(directory->Status("s").at(0).open == 0);
+}
+
+// Guards against needless traffic between data centres, and against a local
+// overload while other data centres are idle.
+TEST_CASE_METHOD(fixture, "the own data centre is preferred until it is busy") {
+  AddMany(3);
+  AddMany(3, "west");
+  for (const auto& [vm, times] : Chosen(100)) {
+    CHECK(vm.substr(0, 4) == "east");
+  }
+  for (int i = 0; i < 3; ++i) {
+    directory->OnHeartbeat(Beat("east" + std::to_string(i), "east", 12));
+    directory->OnHeartbeat(Beat("west" + std::to_string(i), "west", 10));
+  }
+  CHECK(Chosen(100).count("west0") == 0);
+  for (int i = 0; i < 3; ++i) {
+    directory->OnHeartbeat(Beat("west" + std::to_string(i), "west", 2));
+  }
+  for (const auto& [vm, times] : Chosen(100)) {
+    CHECK(vm.substr(0, 4) == "west");
+  }
+}
+
+// Guards against a target that fails everything it is sent, against ejecting
+// most targets when the fault lies elsewhere, and against ejecting for ever.
+TEST_CASE_METHOD(fixture, "failing targets are ejected, at most a third") {
+  AddMany(6);
+  const auto fail = [&](const std::string& vm, int times) {
+    std::vector<std::string> others;
+    for (int i = 0; i < 6; ++i) {
+      if (const auto name = "east" + std::to_string(i); name != vm) {
+        others.push_back(name);
+      }
+    }
+    for (int i = 0; i < times; ++i) {
+      if (auto got = directory->Choose("s", others, random)) {
+        got->at().OnFailure(now);
+      }
+    }
+  };
+  const auto beat = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      now += millis(1'000);
+      AddMany(6);
+    }
+  };
+  fail("east0", 4);
+  CHECK(Chosen(200).count("east0") == 1);
+  fail("east0", 1);
+  CHECK(Chosen(200).count("east0") == 0);
+  beat(5);
+  CHECK(Chosen(200).count("east0") == 1);
+  fail("east0", 1);
+  beat(9);
+  CHECK(Chosen(200).count("east0") == 0);
+  beat(1);
+  CHECK(Chosen(200).count("east0") == 1);
+  fail("east0", 1);
+  fail("east1", 5);
+  CHECK(Chosen(200).size() == 4);
+  fail("east2", 5);
+  CHECK(Chosen(200).size() == 6);
+  directory->Choose("s", {"east0", "east1", "east3", "east4", "east5"}, random)
+      ->at()
+      .OnSuccess();
+  CHECK(Chosen(200).size() == 4);
+}
+
+// Guards against data races between heartbeats, expiry and choices, which the
+// thread sanitizer build reports.
+TEST_CASE_METHOD(fixture, "heartbeats and choices may run at the same time") {
+  std::atomic<bool> stop{false};
+  std::thread chooser([&] {
+    random_engine own(3);
+    while (!stop) {
+      (void)directory->Choose("s", {}, [&] { return own(); });
+    }
+  });
+  for (int round = 0; round < 200; ++round) {
+    for (int i = 0; i < 10; ++i) {
+      auto beat = Beat("vm" + std::to_string(i));
+      beat.vm.incarnation = round / 3;
+      directory->OnHeartbeat(beat);
+    }
+    directory->Expire();
+  }
+  stop = true;
+  chooser.join();
+  CHECK(Chosen(100).size() == 10);
+}
+
+}  // namespace chiveglade::routing
