Add agent_core with its ledger and a property test

Cause: the agent is the last check before a task starts and the only holder of the clock that bounds how long it may run. Change: agent_core (admission by the worker's own list, start validity, run grants, worker leases in small steps, stops, throttles, end reports until acknowledged), a ledger of attempts, a fake worker and a simulated unreliable network for a property test. Ruled out: an agent-made incarnation (a restarted agent would announce a new VM while its tasks still run; the worker's boot id is used); forgetting ended tasks at the worker by age (an end could be lost while the agent is down; the agent has them forgotten after the acknowledgement).

--- /dev/null
+++ b/tests/agent/agent_core_property_test.cc
@@ -0,0 +1,100 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "agent_world.h"
+
+namespace chiveglade::testing {
+
+namespace {
+
+enum class step {
+  kPass,
+  kPassLong,
+  kJump,
+  kTick,
+  kHeartbeat,
+  kCall,
+  kAnswer,
+  kRestartAgent,
+  kRestartWorker,
+  kGrant,
+  kStop,
+  kFinish,
+};
+
+void Take(agent_world& world, step what, uint8_t amount) {
+  switch (what) {
+    case step::kPass:
+      return world.Pass(millis(amount));
+    case step::kPassLong:
+      return world.Pass(millis(amount * 10));
+    case step::kJump:
+      return world.Pass(millis(amount * 200));
+    case step::kTick:
+      return world.TickAgent();
+    case step::kHeartbeat:
+      return world.SendHeartbeat();
+    case step::kCall:
+      return world.DeliverCall();
+    case step::kAnswer:
+      return world.DeliverAnswer();
+    case step::kRestartAgent:
+      return world.RestartAgent();
+    case step::kRestartWorker:
+      return world.RestartWorker();
+    case step::kGrant:
+      return world.GrantTask();
+    case step::kStop:
+      return world.StopTask();
+    case step::kFinish:
+      return world.FinishTask();
+  }
+}
+
+rc::Gen<std::pair<step, uint8_t>> Steps() {
+  return rc::gen::pair(
+      rc::gen::weightedElement<step>({{20, step::kPass},
+                                      {6, step::kPassLong},
+                                      {1, step::kJump},
+                                      {20, step::kTick},
+                                      {12, step::kHeartbeat},
+                                      {30, step::kCall},
+                                      {14, step::kAnswer},
+                                      {1, step::kRestartAgent},
+                                      {1, step::kRestartWorker},
+                                      {8, step::kGrant},
+                                      {2, step::kStop},
+                                      {2, step::kFinish}}),
+      rc::gen::arbitrary<uint8_t>());
+}
+
+}  // namespace
+
+// Guards against a VM above capacity, two attempts of one task at once, a start
+// after its validity, a task that runs past its grant, and an end that is lost
+// or untrue, under lost, late and repeated messages, restarts and clock jumps.
+TEST_CASE("agent_core keeps its rules under random faults") {
+  uint64_t ran = 0;
+  CHECK(rc::check([&ran](uint64_t seed) {
+    constexpr size_t kSteps = 600;
+    agent_world world(seed);
+    const auto steps =
+        *rc::gen::container<std::vector<std::pair<step, uint8_t>>>(kSteps,
+                                                                   Steps());
+    for (const auto& [what, amount] : steps) {
+      Take(world, what, amount);
+    }
+    world.Settle();
+    RC_ASSERT(world.Problems() == std::vector<std::string>());
+    for (const auto& [name, task] : world.tasks()) {
+      RC_ASSERT(!task.held);
+    }
+    RC_ASSERT(world.core().unacknowledged() == 0u);
+    RC_ASSERT(world.core().used() == resources());
+    ran += world.worker().history().size();
+  }));
+  // The property says little if the faults kept everything from running.
+  CHECK(ran > 400);
+}
+
+}  // namespace chiveglade::testing
