--- a/src/app/data_centre_commands.cc
+++ b/src/app/data_centre_commands.cc
@@ -36,9 +36,8 @@
   return RunOperatorCall(
       options.common, {"GET", "/v1/dc", ""}, [](const nlohmann::json& out) {
         for (const auto& row : out.at("data_centres")) {
-          std::cout << row.value("name", "") << " "
-                    << row.value("state", "") << " version="
-                    << row.value("version", uint64_t{0})
+          std::cout << row.value("name", "") << " " << row.value("state", "")
+                    << " version=" << row.value("version", uint64_t{0})
                     << " attempts=" << row.value("attempts", 0)
                     << " vms=" << row.value("vms", 0);
           if (const auto by = row.value("by", ""); !by.empty()) {
--- a/src/app/job_commands.cc
+++ b/src/app/job_commands.cc
@@ -43,16 +43,16 @@
 exit_code Cancel(const job_options& options) {
   return RunOperatorCall(
       options.common,
-      {"POST", "/v1/jobs/" + EscapeUrl(options.name) + "/cancel" + Query(options),
-       ""},
+      {"POST",
+       "/v1/jobs/" + EscapeUrl(options.name) + "/cancel" + Query(options), ""},
       PrintChange);
 }
 
 void PrintJob(const nlohmann::json& job) {
   std::cout << job.value("name", "") << " tenant=" << job.value("tenant", "")
             << " priority=" << job.value("priority", "");
-  for (const auto& [phase, count] :
-       job.value("phases", nlohmann::json::object()).items()) {
+  const auto phases = job.value("phases", nlohmann::json::object());
+  for (const auto& [phase, count] : phases.items()) {
     std::cout << " " << phase << "=" << count;
   }
   if (const auto why = job.value("waiting", ""); !why.empty()) {
--- a/src/app/manifest_commands.cc
+++ b/src/app/manifest_commands.cc
@@ -55,11 +55,11 @@
   if (options.dry_run) {
     target += "&dry_run=1";
   }
-  return RunOperatorCall(
-      options.common, {"POST", target, *text}, [](const nlohmann::json& out) {
-        std::cout << out.value("detail", "") << "\n"
-                  << "verify: chiveglade manifest show\n";
-      });
+  return RunOperatorCall(options.common, {"POST", target, *text},
+                         [](const nlohmann::json& out) {
+                           std::cout << out.value("detail", "") << "\n"
+                                     << "verify: chiveglade manifest show\n";
+                         });
 }
 
 exit_code Show(const manifest_options& options) {
@@ -68,8 +68,8 @@
       [](const nlohmann::json& out) {
         std::cout << "version " << out.value("version", uint64_t{0}) << " by "
                   << out.value("by", "") << ", hash " << out.value("hash", "")
-                  << ", confirmed " << out.value("confirmed_ms_ago", int64_t{-1})
-                  << " ms ago\n"
+                  << ", confirmed "
+                  << out.value("confirmed_ms_ago", int64_t{-1}) << " ms ago\n"
                   << out.value("manifest", nlohmann::json::object()).dump(2)
                   << "\n";
       });
@@ -79,7 +79,8 @@
 
 void AddManifestCommands(CLI::App& app, command_fn& chosen) {
   static manifest_options options;
-  auto* manifest = app.add_subcommand("manifest", "Check and publish manifests");
+  auto* manifest =
+      app.add_subcommand("manifest", "Check and publish manifests");
   manifest->require_subcommand(1);
 
   auto* check = manifest->add_subcommand(
@@ -95,14 +96,12 @@
   publish->add_option("--expect", options.expect,
                       "Version that must be in effect; default: the newest "
                       "that the entry knows");
-  publish->add_flag("--dry-run", options.dry_run,
-                    "Only say what would happen");
+  publish->add_flag("--dry-run", options.dry_run, "Only say what would happen");
   AddOperatorOptions(*publish, options.common);
   AddChangeOptions(*publish, options.common);
   publish->callback([&chosen] { chosen = [] { return Publish(options); }; });
 
-  auto* show =
-      manifest->add_subcommand("show", "Print the manifest in effect");
+  auto* show = manifest->add_subcommand("show", "Print the manifest in effect");
   AddOperatorOptions(*show, options.common);
   show->callback([&chosen] { chosen = [] { return Show(options); }; });
 
--- a/src/app/worker_commands.cc
+++ b/src/app/worker_commands.cc
@@ -19,11 +19,11 @@
   if (options.dry_run) {
     target += "&dry_run=1";
   }
-  return RunOperatorCall(
-      options.common, {"POST", target, ""}, [](const nlohmann::json& out) {
-        std::cout << out.value("detail", "") << "\n"
-                  << "verify: chiveglade worker status\n";
-      });
+  return RunOperatorCall(options.common, {"POST", target, ""},
+                         [](const nlohmann::json& out) {
+                           std::cout << out.value("detail", "") << "\n"
+                                     << "verify: chiveglade worker status\n";
+                         });
 }
 
 exit_code Status(const worker_options& options) {
