--- /dev/null
+++ b/include/chiveglade/net/http_server.h
@@ -0,0 +1,63 @@
+// A small HTTP/1.1 server for control traffic with buffered bodies.
+#ifndef CHIVEGLADE_NET_HTTP_SERVER_H_
+#define CHIVEGLADE_NET_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chiveglade/core/clock.h"
+#include "chiveglade/core/result.h"
+#include "chiveglade/net/executor.h"
+#include "chiveglade/net/http_message.h"
+
+namespace chiveglade::net {
+
+// Limits of one server.
+struct http_server_options {
+  uint32_t max_header_bytes = 16 * 1024;        // request line and fields
+  uint64_t max_body_bytes = 8UL * 1024 * 1024;  // of one request
+  uint32_t max_connections = 1'024;             // open at once
+  millis idle_timeout{60'000};     // until the first byte of a request
+  millis request_timeout{10'000};  // from the first byte to the last
+  millis write_timeout{10'000};    // for a whole answer
+  friend bool operator==(const http_server_options&,
+                         const http_server_options&) = default;
+};
+
+// Runs in the coroutine of the connection, which has a strand of its own, so
+// requests of one connection are answered one after the other.
+using http_handler = std::function<http_reply(const http_request&, yield)>;
+
+// Listens until stopped. A request outside the limits is answered with a JSON
+// refusal (400, 413, 431, or 503 if too many connections are open) and the
+// connection is closed. A peer that exceeds a timeout is disconnected; it gets
+// a 408 if it had sent part of a request. Thread-safe.
+class http_server {
+ public:
+  virtual ~http_server() = default;
+
+  // Port 0 asks for any free port.
+  static result<std::shared_ptr<http_server>> Make(asio::io_context& loop,
+                                                   const std::string& ip,
+                                                   uint16_t port,
+                                                   http_server_options options,
+                                                   http_handler handler);
+
+  // The port in use; differs from the one asked for if that was 0.
+  virtual uint16_t port() const = 0;
+
+  // Graceful: stops accepting, closes idle connections, and closes each other
+  // one after the answer in progress. `drained` is called once when none is
+  // left.
+  virtual void Drain(std::function<void()> drained) = 0;
+
+  // Closes everything now. The handlers that are running keep running, and
+  // their answers are dropped.
+  virtual void Stop() = 0;
+};
+
+}  // namespace chiveglade::net
+
+#endif  // CHIVEGLADE_NET_HTTP_SERVER_H_
