--- /dev/null
+++ b/src/sched/departure.h
@@ -0,0 +1,70 @@
+// Empties data centres and VMs that leave service.
+#ifndef CHIVEGLADE_SCHED_DEPARTURE_H_
+#define CHIVEGLADE_SCHED_DEPARTURE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/sched/starter.h"
+
+namespace chiveglade::sched {
+
+// Stops the attempts of data centres that are out, and of drained VMs, at a
+// limited rate: batch work first, the longest remaining run first, so that
+// tasks near their end can finish. Service replicas come last, one per service
+// at a time, and only once room for them is ready elsewhere or has not been
+// found for some seconds.
+class departure {
+ public:
+  departure(const planner_options& options,
+            vm_index& index,
+            const demand_model& demand,
+            placement& places,
+            preemption& evictions,
+            hold_table& holds,
+            starter& starts)
+      : options_(options),
+        index_(index),
+        demand_(demand),
+        places_(places),
+        evictions_(evictions),
+        holds_(holds),
+        starts_(starts) {}
+
+  void Run(plan_draft& draft);
+
+ private:
+  // VMs that leave together.
+  struct group {
+    std::string name;
+    std::string why;
+    std::vector<vm_slot*> slots;
+  };
+  std::vector<group> Groups();
+  void Empty(const group& leaving, plan_draft& draft);
+  // Stops up to `limit` batch attempts; returns true if none is left to stop.
+  bool StopBatch(const group& leaving, size_t& limit, plan_draft& draft);
+  void StopReplicas(const group& leaving, size_t limit, plan_draft& draft);
+  // True if the replica may be stopped now.
+  bool ReplacementReady(const resident& replica,
+                        const state::job& job,
+                        plan_draft& draft);
+  bool OthersRun(const state::job& job, const plan_draft& draft) const;
+  bool GaveUp(const state::task_id& task, const plan_draft& draft);
+  millis Remaining(const resident& target, const plan_draft& draft) const;
+
+  const planner_options& options_;
+  vm_index& index_;
+  const demand_model& demand_;
+  placement& places_;
+  preemption& evictions_;
+  hold_table& holds_;
+  starter& starts_;
+  std::map<std::string, size_t> initial_;  // attempts at the start, by group
+  std::map<state::task_id, boot_time> unplaced_since_;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_DEPARTURE_H_
--- a/src/sched/interference_model.cc
+++ b/src/sched/interference_model.cc
@@ -17,13 +17,13 @@
 // A single report is never taken for more than a tenfold slowdown.
 constexpr double kLargestSlowdown = 10;
 
-double Aged(double samples, boot_time updated, boot_time now) {
-  const auto age = static_cast<double>((now - updated).count());
-  return samples * std::exp2(-std::max(0.0, age) / kHalfLifeMs);
-}
-
 }  // namespace
 
+double interference_model::Aged(const pair_entry& pair, boot_time now) {
+  const auto age = static_cast<double>((now - pair.updated).count());
+  return pair.samples * std::exp2(-std::max(0.0, age) / kHalfLifeMs);
+}
+
 void interference_model::Observe(class_index victim,
                                  std::span<const neighbour_count> neighbours,
                                  double slowdown,
@@ -46,7 +46,7 @@
     }
     const double share = count * count / squares;
     auto& pair = At(victim, klass);
-    pair.samples = Aged(pair.samples, pair.updated, now);
+    pair.samples = Aged(pair, now);
     pair.updated = now;
     const double blended = Effect(victim, klass, now);
     const double weight = std::max(kWeight, 1 / (1 + pair.samples)) * share;
@@ -63,7 +63,7 @@
   if (pair == nullptr) {
     return kPrior;
   }
-  const double samples = Aged(pair->samples, pair->updated, now);
+  const double samples = Aged(*pair, now);
   return (samples * pair->mean + kPriorSamples * kPrior) /
          (samples + kPriorSamples);
 }
@@ -72,8 +72,7 @@
                                class_index neighbour,
                                boot_time now) const {
   const auto* pair = Find(victim, neighbour);
-  return pair != nullptr &&
-         Aged(pair->samples, pair->updated, now) >= kKnownSamples;
+  return pair != nullptr && Aged(*pair, now) >= kKnownSamples;
 }
 
 interference_model::pair_entry& interference_model::At(class_index victim,
--- a/src/sched/interference_model.h
+++ b/src/sched/interference_model.h
@@ -47,6 +47,8 @@
     double samples = 0;
     boot_time updated;
   };
+  // Samples of a pair after ageing.
+  static double Aged(const pair_entry& pair, boot_time now);
   // Rows by victim; missing entries were never measured.
   const std::vector<std::vector<pair_entry>>& rows() const { return rows_; }
   pair_entry& At(class_index victim, class_index neighbour);
--- /dev/null
+++ b/src/sched/measurements.cc
@@ -0,0 +1,103 @@
+#include "src/sched/measurements.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chiveglade::sched {
+namespace {
+
+// Averages below this are dropped: the neighbour left long ago.
+constexpr double kSmallestCount = 0.02;
+
+neighbour_count& CountOf(std::vector<neighbour_count>& counts,
+                         class_index klass) {
+  for (auto& entry : counts) {
+    if (entry.klass == klass) {
+      return entry;
+    }
+  }
+  return counts.emplace_back(neighbour_count{klass, 0});
+}
+
+resident* FindResident(vm_slot& slot, const state::attempt_id& attempt) {
+  for (auto& other : slot.residents) {
+    if (other.attempt == attempt) {
+      return &other;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void measurements::Observe(const state::heartbeat& report, boot_time now) {
+  inbox_[report.vm.name] = {report, now};
+}
+
+void measurements::Digest(vm_index& index, plan_draft& draft) {
+  for (const auto& [vm, entry] : inbox_) {
+    auto* slot = index.Find(vm);
+    if (slot != nullptr && slot->incarnation == entry.report.vm.incarnation) {
+      DigestOne(*slot, entry, draft);
+    }
+  }
+  inbox_.clear();
+}
+
+void measurements::DigestOne(vm_slot& slot,
+                             const inbox_entry& entry,
+                             plan_draft& draft) {
+  UpdateRecent(slot, entry.received);
+  std::optional<double> worst;
+  for (const auto& report : entry.report.attempts) {
+    auto* found = FindResident(slot, report.attempt);
+    if (found == nullptr) {
+      continue;
+    }
+    found->work_done = std::max(found->work_done, report.work_done);
+    if (report.used != resources{}) {
+      demand_.ObserveUse(found->klass, found->declared, report.used);
+    }
+    const auto& klass = classes_.at(found->klass);
+    if (!klass.latency_critical || report.slowdown_pct == 0) {
+      continue;
+    }
+    Learn(slot, *found, report.slowdown_pct / 100.0, entry.received);
+    const double share = static_cast<double>(report.slowdown_pct) /
+                         std::max(1U, klass.slowdown_limit_pct);
+    worst = std::max(worst.value_or(0), share);
+  }
+  guard_.OnReport(slot, worst, draft);
+}
+
+void measurements::UpdateRecent(vm_slot& slot, boot_time now) const {
+  const double passed =
+      static_cast<double>(std::max(millis(0), now - slot.recent_at).count()) /
+      static_cast<double>(options_.measurement_lag.count());
+  const double keep = std::exp(-passed);
+  slot.recent_at = now;
+  for (auto& entry : slot.recent) {
+    entry.count *= keep;
+  }
+  for (const auto& other : slot.residents) {
+    CountOf(slot.recent, other.klass).count +=
+        (1 - keep) * guard_.Speed(slot.name, other.attempt);
+  }
+  std::erase_if(slot.recent,
+                [](const auto& entry) { return entry.count < kSmallestCount; });
+}
+
+void measurements::Learn(const vm_slot& slot,
+                         const resident& victim,
+                         double slowdown,
+                         boot_time now) {
+  auto neighbours = slot.recent;
+  for (auto& entry : neighbours) {
+    if (entry.klass == victim.klass) {
+      entry.count = std::max(0.0, entry.count - 1);
+    }
+  }
+  model_.Observe(victim.klass, neighbours, slowdown, now);
+}
+
+}  // namespace chiveglade::sched
--- /dev/null
+++ b/src/sched/measurements.h
@@ -0,0 +1,54 @@
+// Feeds reports of agents to the learned tables.
+#ifndef CHIVEGLADE_SCHED_MEASUREMENTS_H_
+#define CHIVEGLADE_SCHED_MEASUREMENTS_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "src/sched/interference_guard.h"
+
+namespace chiveglade::sched {
+
+// Keeps the newest report of each VM until the next plan, when the state says
+// which classes the attempts belong to.
+class measurements {
+ public:
+  measurements(const planner_options& options,
+               const class_table& classes,
+               demand_model& demand,
+               interference_model& model,
+               interference_guard& guard)
+      : options_(options),
+        classes_(classes),
+        demand_(demand),
+        model_(model),
+        guard_(guard) {}
+
+  void Observe(const state::heartbeat& report, boot_time now);
+  // Learns from the reports since the last call and lets the guard act.
+  void Digest(vm_index& index, plan_draft& draft);
+
+ private:
+  struct inbox_entry {
+    state::heartbeat report;
+    boot_time received;
+  };
+  void DigestOne(vm_slot& slot, const inbox_entry& entry, plan_draft& draft);
+  void UpdateRecent(vm_slot& slot, boot_time now) const;
+  void Learn(const vm_slot& slot,
+             const resident& victim,
+             double slowdown,
+             boot_time now);
+
+  const planner_options& options_;
+  const class_table& classes_;
+  demand_model& demand_;
+  interference_model& model_;
+  interference_guard& guard_;
+  std::map<std::string, inbox_entry> inbox_;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_MEASUREMENTS_H_
--- /dev/null
+++ b/src/sched/parking.h
@@ -0,0 +1,43 @@
+// Parks jobs that no VM could ever run.
+#ifndef CHIVEGLADE_SCHED_PARKING_H_
+#define CHIVEGLADE_SCHED_PARKING_H_
+
+#include <string>
+#include <vector>
+
+#include "src/sched/fair_order.h"
+#include "src/sched/plan_draft.h"
+
+namespace chiveglade::sched {
+
+// A job that is larger than every known VM in its data centres, in service or
+// not, is parked with the missing resource as the reason, and released when a
+// VM that could hold it joins. Other reasons for parking are left alone.
+class parking {
+ public:
+  // Start of the reasons that this class gives.
+  static constexpr const char* kPrefix = "no VM fits: ";
+
+  explicit parking(const planner_options& options) : options_(options) {}
+
+  void Run(const vm_index& index, const fair_order& order, plan_draft& draft);
+
+ private:
+  struct shape {
+    std::string data_centre;
+    resources capacity;
+    friend bool operator==(const shape&, const shape&) = default;
+  };
+  void ReadShapes(const vm_index& index);
+  bool Fits(const state::job_spec& spec) const;
+  std::string Reason(const state::job_spec& spec) const;
+  void Release(plan_draft& draft) const;
+
+  const planner_options& options_;
+  std::vector<shape> shapes_;  // distinct ones
+  uint64_t generation_ = 0;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_SCHED_PARKING_H_
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -25,6 +25,21 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// True if both the declaration and the corrected demand fit. On a VM that is
+// smaller than the corrected demand the whole VM is enough.
+bool HasRoom(const placement_request& request,
+             const vm_slot& slot,
+             const vm_room& room) {
+  if (!FitsWithin(request.spec->per_task, room.free)) {
+    return false;
+  }
+  const resources wanted{
+      std::min(request.expected.millicores, slot.capacity.millicores),
+      std::min(request.expected.memory_mib, slot.capacity.memory_mib),
+      request.expected.accelerators};
+  return FitsWithin(wanted, room.free);
+}
+
 }  // namespace
 
 const char* ToString(obstacle what) {
@@ -91,8 +106,7 @@
     }
     auto& slot = index_.slots()[position];
     obstacle why = obstacle::kNoRoom;
-    if (!FitsWithin(request.spec->per_task, room.free) ||
-        !Permits(request, slot, now, why)) {
+    if (!HasRoom(request, slot, room) || !Permits(request, slot, now, why)) {
       best.why = best.slot == nullptr ? std::min(best.why, why) : best.why;
       continue;
     }
@@ -119,8 +133,7 @@
     const auto& room = index_.rooms()[index_.Position(slot)];
     obstacle why = obstacle::kNoRoom;
     if (room.startable && AllowedDataCentre(*request.spec, room.data_centre) &&
-        FitsWithin(request.spec->per_task, room.free) &&
-        Permits(request, slot, now, why)) {
+        HasRoom(request, slot, room) && Permits(request, slot, now, why)) {
       return {&slot, obstacle::kNone};
     }
     choice.why = std::min(choice.why, why);
--- a/src/sched/planner.cc
+++ b/src/sched/planner.cc
@@ -63,11 +63,11 @@
 }
 
 std::string planner::SaveHints() const {
-  return "{}";
+  return impl_->SaveHints();
 }
 
 void planner::LoadHints(const std::string& hints) {
-  (void)hints;
+  impl_->LoadHints(hints);
 }
 
 }  // namespace chiveglade::sched
--- a/src/sched/planner_impl.cc
+++ b/src/sched/planner_impl.cc
@@ -13,7 +13,18 @@
       places_(options_, index_, classes_, interference_, pacer_, random_),
       evictions_(options_, index_, places_, holds_),
       starter_({options_, index_, classes_, demand_, quotas_, order_, pacer_,
-                places_, evictions_, holds_, health_}) {}
+                places_, evictions_, holds_, health_}),
+      guard_(options_, classes_, interference_),
+      measurements_(options_, classes_, demand_, interference_, guard_),
+      departure_(options_,
+                 index_,
+                 demand_,
+                 places_,
+                 evictions_,
+                 holds_,
+                 starter_),
+      backfill_(options_, index_, demand_, places_, starter_),
+      parking_(options_) {}
 
 void planner::impl::SetManifest(const config::manifest& manifest) {
   classes_.SetManifest(manifest);
@@ -21,30 +32,54 @@
 }
 
 void planner::impl::Observe(const state::heartbeat& report, boot_time now) {
-  (void)report;
-  (void)now;
+  measurements_.Observe(report, now);
 }
 
 void planner::impl::ObserveEnd(const state::attempt_ended& end,
                                const std::string& vm,
                                const state::job_spec& spec,
                                boot_time now) {
-  (void)spec;
-  (void)now;
   health_.ObserveEnd(end, vm);
+  const auto* slot = index_.Find(vm);
+  if (slot == nullptr || end.how != state::attempt_end::kFinished) {
+    return;
+  }
+  for (const auto& known : slot->residents) {
+    // Only whole runs tell how long the task takes.
+    if (known.attempt == end.attempt && known.checkpointed == millis(0)) {
+      demand_.ObserveRun(known.klass, spec.expected_run,
+                         now - known.first_seen);
+    }
+  }
 }
 
 plan planner::impl::Plan(const state::cluster_state& state,
                          const cluster_view& view) {
+  last_plan_ = view.now;
+  if (!loaded_hints_.empty()) {
+    ReadHints(std::exchange(loaded_hints_, {}), Learned(), view.now);
+  }
   index_.Sync(state, view, classes_, demand_);
   plan_draft draft(state, view, index_);
   quotas_.Begin(state.usage());
   order_.Begin(state, view.now);
   pacer_.Trim(view.now);
+  starter_.Begin();
   holds_.Apply(draft, index_);
-  health_.Run(draft);
+  guard_.Trim(index_);
+  measurements_.Digest(index_, draft);
+  health_.Run(draft, index_);
+  parking_.Run(index_, order_, draft);
+  departure_.Run(draft);
+  backfill_.Begin(draft);
   starter_.Run(draft);
+  backfill_.End(draft);
   return draft.Take();
 }
 
+std::string planner::impl::SaveHints() {
+  return loaded_hints_.empty() ? WriteHints(Learned(), last_plan_)
+                               : loaded_hints_;
+}
+
 }  // namespace chiveglade::sched
--- a/src/sched/planner_impl.h
+++ b/src/sched/planner_impl.h
@@ -5,6 +5,11 @@
 #include <string>
 
 #include "chiveglade/sched/planner.h"
+#include "src/sched/backfill.h"
+#include "src/sched/departure.h"
+#include "src/sched/hints.h"
+#include "src/sched/measurements.h"
+#include "src/sched/parking.h"
 #include "src/sched/starter.h"
 
 namespace chiveglade::sched {
@@ -20,8 +25,14 @@
                   const state::job_spec& spec,
                   boot_time now);
   plan Plan(const state::cluster_state& state, const cluster_view& view);
+  std::string SaveHints();
+  void LoadHints(const std::string& hints) { loaded_hints_ = hints; }
 
  private:
+  learned_tables Learned() {
+    return {classes_, demand_, interference_, guard_};
+  }
+
   const planner_options options_;
   const random_fn random_;
   class_table classes_;
@@ -36,6 +47,14 @@
   placement places_;
   preemption evictions_;
   starter starter_;
+  interference_guard guard_;
+  measurements measurements_;
+  departure departure_;
+  backfill backfill_;
+  parking parking_;
+  // Adopted by the next Plan, which knows the time.
+  std::string loaded_hints_;
+  boot_time last_plan_;
 };
 
 }  // namespace chiveglade::sched
--- a/src/sched/starter.cc
+++ b/src/sched/starter.cc
@@ -13,11 +13,15 @@
 
 }  // namespace
 
-void starter::Run(plan_draft& draft) {
+void starter::Begin() {
   spreads_.clear();
   failed_.clear();
   without_room_.clear();
+}
+
+void starter::Run(plan_draft& draft) {
   StartHeld(draft);
+  StartProbes(draft);
   for (const auto priority : {state::band::kService, state::band::kUrgent,
                               state::band::kNormal, state::band::kIdle}) {
     RunBand(priority, draft);
@@ -44,12 +48,26 @@
   }
 }
 
+void starter::StartProbes(plan_draft& draft) {
+  for (const auto& name : with_.health.DueProbes(draft, with_.index)) {
+    auto* slot = with_.index.Find(name);
+    for (const auto& waiting : with_.order.all()) {
+      const auto priority = waiting.job->spec.priority;
+      if ((priority == state::band::kNormal ||
+           priority == state::band::kIdle) &&
+          StartOn(*slot, *waiting.job, *waiting.tasks->begin(), draft)) {
+        with_.health.Probed(name, draft);
+        break;
+      }
+    }
+  }
+}
+
 bool starter::StartOn(vm_slot& slot,
                       const state::job& job,
                       uint32_t index,
                       plan_draft& draft) {
   auto request = Request(job, index);
-  request.failed_on = nullptr;
   const bool reserved = std::exchange(slot.reserved, false);
   const bool startable =
       std::exchange(slot.startable, slot.startable || slot.quarantined);
--- a/src/sched/starter.h
+++ b/src/sched/starter.h
@@ -37,8 +37,10 @@
   };
   explicit starter(const parts& with) : with_(with) {}
 
+  // Starts a plan: forgets what was computed for the last one.
+  void Begin();
   // Starts tasks whose held room has become free, then all others. Tasks that
-  // find no room are remembered until the next Run.
+  // find no room are remembered until the next Begin.
   void Run(plan_draft& draft);
   // Starts one task on the given VM if it has room and everything else allows
   // it. Used for probes and for reservations.
@@ -47,8 +49,12 @@
                uint32_t index,
                plan_draft& draft);
 
-  // The request for a task of the job. Valid until the next Run.
+  // The request for a task of the job. Valid until the next Begin.
   placement_request Request(const state::job& job, uint32_t index);
+  // When the planner first saw the job pending; the epoch if it is not.
+  boot_time PendingSince(const std::string& job) const {
+    return with_.order.Since(job);
+  }
   // Tasks that found no room in the last Run, one per job.
   const std::vector<state::task_id>& without_room() const {
     return without_room_;
@@ -56,6 +62,7 @@
 
  private:
   void StartHeld(plan_draft& draft);
+  void StartProbes(plan_draft& draft);
   void RunBand(state::band priority, plan_draft& draft);
   // What became of one offer of a job.
   enum class outcome : uint8_t { kStarted, kSkipTask, kSkipJob };
--- a/src/sched/vm_index.cc
+++ b/src/sched/vm_index.cc
@@ -179,6 +179,11 @@
   return it == by_name_.end() ? nullptr : &slots_[it->second];
 }
 
+const vm_slot* vm_index::Find(const std::string& name) const {
+  const auto it = by_name_.find(name);
+  return it == by_name_.end() ? nullptr : &slots_[it->second];
+}
+
 int vm_index::DataCentre(const std::string& name) const {
   const auto it = data_centre_numbers_.find(name);
   return it == data_centre_numbers_.end() ? -1 : it->second;
--- a/src/sched/vm_index.h
+++ b/src/sched/vm_index.h
@@ -9,6 +9,7 @@
 #include "chiveglade/sched/planner.h"
 #include "src/sched/class_table.h"
 #include "src/sched/demand_model.h"
+#include "src/sched/interference_model.h"
 
 namespace chiveglade::sched {
 
@@ -38,6 +39,9 @@
   resources expected{};   // sum of corrected demands
   resources held{};       // kept free for tasks whose victims are stopping
   std::vector<resident> residents{};
+  // Residents per class, averaged over the measurement lag.
+  std::vector<neighbour_count> recent{};
+  boot_time recent_at{};
   bool startable = false;
   bool drained = false;
   bool quarantined = false;
@@ -81,6 +85,7 @@
   }
   // The slot of a VM by name; null if there is none. Valid until Sync.
   vm_slot* Find(const std::string& name);
+  const vm_slot* Find(const std::string& name) const;
   size_t Position(const vm_slot& slot) const { return &slot - slots_.data(); }
   // Number of a data centre; -1 if it has no VM.
   int DataCentre(const std::string& name) const;
--- a/src/sched/worker_health.cc
+++ b/src/sched/worker_health.cc
@@ -84,7 +84,7 @@
                   millis(options_.first_probe.count() << doublings));
 }
 
-void worker_health::Run(plan_draft& draft) {
+void worker_health::Run(plan_draft& draft, vm_index& index) {
   const auto& state = draft.state();
   std::erase_if(probes_, [&](const auto& entry) {
     return !state.quarantined().contains(entry.first);
@@ -117,6 +117,10 @@
       draft.Add(state::vm_quarantined{vm, true, 0});
       probes_[vm] = {.next = draft.now() + Wait(0)};
       ++aside;
+      if (auto* slot = index.Find(vm); slot != nullptr) {
+        slot->startable = false;
+        index.Refresh(*slot);
+      }
     }
   }
   check_ = std::move(keep);
--- a/src/sched/worker_health.h
+++ b/src/sched/worker_health.h
@@ -28,7 +28,7 @@
   void ObserveEnd(const state::attempt_ended& end, const std::string& vm);
 
   // Plans quarantines, up to the limit, and releases after a good probe.
-  void Run(plan_draft& draft);
+  void Run(plan_draft& draft, vm_index& index);
   // Names of quarantined VMs whose next probe is due and that run nothing.
   std::vector<std::string> DueProbes(const plan_draft& draft,
                                      vm_index& index) const;
