Add the newest answered epoch and tick to heartbeats

Cause: a heartbeat can be delayed without limit, so the absence of an attempt from it, or an incarnation that differs from the known one, does not prove when the message was made.

Change: heartbeat::answered_epoch and answered_tick tell the scheduler which of its answers the agent had received when it made the message.

Ruled out: a bound on message delay in place of the proof.

Conclusion: codec round trips pass; agents have to fill the fields in.

--- a/include/chiveglade/state/heartbeat.h
+++ b/include/chiveglade/state/heartbeat.h
@@ -64,6 +64,12 @@
   // True if `attempts` and `ends` were left out because the entry was not known
   // as the scheduler. Absence from such a heartbeat proves nothing.
   bool partial = false;
+  // The highest scheduler epoch from which this agent process has had an
+  // answer, and the highest tick of its heartbeats that this epoch answered; 0
+  // if none. They prove that the message was made after that answer, whatever
+  // the delay of the network.
+  uint64_t answered_epoch = 0;
+  int64_t answered_tick = 0;
   std::vector<target_load> targets;
   std::vector<attempt_report> attempts;
   std::vector<end_report> ends;
--- a/src/state/heartbeat_codec.cc
+++ b/src/state/heartbeat_codec.cc
@@ -159,9 +159,9 @@
                        message.vm.incarnation, message.data_centre,
                        message.rack, message.address, ToCbor(message.capacity),
                        message.sequence, message.tick, message.manifest_version,
-                       message.leaving, message.partial,
-                       WriteList(message.targets), WriteList(message.attempts),
-                       WriteList(message.ends)));
+                       message.leaving, message.partial, message.answered_epoch,
+                       message.answered_tick, WriteList(message.targets),
+                       WriteList(message.attempts), WriteList(message.ends)));
 }
 
 result<heartbeat> DecodeHeartbeat(std::string_view bytes) {
@@ -182,6 +182,8 @@
   out.manifest_version = in.Int<uint64_t>();
   out.leaving = in.Bool();
   out.partial = in.Bool();
+  out.answered_epoch = in.Int<uint64_t>();
+  out.answered_tick = in.Int<int64_t>();
   out.targets = in.List<target_load>(ReadTarget);
   out.attempts = in.List<attempt_report>(ReadReport);
   out.ends = in.List<end_report>(ReadEnd);
--- a/tests/state/codec_test.cc
+++ b/tests/state/codec_test.cc
@@ -23,6 +23,8 @@
   out.sequence = seed;
   out.tick = -5;
   out.partial = next.Below(2) == 0;
+  out.answered_epoch = 4;
+  out.answered_tick = -6;
   out.targets = {{"s", 8, 1, 2, 3}};
   for (uint32_t i = 0; i < next.Below(20); ++i) {
     out.attempts.push_back({{{"j", i}, 1}, {1, 2, 3}, millis(i), 120});
