--- /dev/null
+++ b/src/app/heartbeat_service.cc
@@ -0,0 +1,159 @@
+#include "heartbeat_service.h"
+
+#include <utility>
+
+#include "chiveglade/authority/rows.h"
+#include "chiveglade/state/heartbeat_codec.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+constexpr millis kFetchTimeout{3'000};
+constexpr char kCbor[] = "application/cbor";
+
+}  // namespace
+
+bool IsOut(const store::row& data_centre) {
+  const auto value = authority::ReadDataCentre(data_centre.value);
+  // A row that cannot be read, for instance of a newer version, is taken as
+  // out: starting less is the safe reading.
+  return !value || value->out;
+}
+
+result<std::string> ReadBody(net::h2_stream& stream,
+                             size_t max_bytes,
+                             net::yield yield) {
+  std::string body;
+  char buffer[16 * 1024];
+  while (true) {
+    const auto got = stream.Read(buffer, sizeof(buffer), yield);
+    if (!got) {
+      return got.last_reason();
+    }
+    if (*got == 0) {
+      return body;
+    }
+    body.append(buffer, *got);
+    if (body.size() > max_bytes) {
+      return reason{"body_too_large", "the body is larger than " +
+                                          std::to_string(max_bytes) + " bytes"};
+    }
+  }
+}
+
+void Reply(net::h2_stream& stream,
+           int status,
+           const net::header_list& headers,
+           const std::string& body,
+           net::yield yield) {
+  net::header_list fields = {{":status", std::to_string(status)}};
+  fields.insert(fields.end(), headers.begin(), headers.end());
+  if (stream.WriteHeaders(fields, body.empty(), yield) && !body.empty()) {
+    // A peer that has gone needs no answer.
+    (void)stream.Write(body, true, yield);
+  }
+}
+
+heartbeat_service::heartbeat_service(entry_context& context,
+                                     question_fn answer_question)
+    : context_(context), answer_question_(std::move(answer_question)) {}
+
+void heartbeat_service::Handle(const net::h2_stream_ptr& stream,
+                               net::yield yield) {
+  const std::string path(net::FindHeader(stream->request_headers(), ":path"));
+  if (path == kHeartbeatPath) {
+    HandleHeartbeat(stream, yield);
+  } else if (path == kManifestPath) {
+    HandleManifest(stream, yield);
+  } else if (path.rfind(kSchedulerPrefix, 0) == 0) {
+    const auto reply =
+        answer_question_(path.substr(sizeof(kSchedulerPrefix) - 1), yield);
+    Reply(*stream, reply.status, reply.headers, reply.body, yield);
+  } else {
+    Reply(*stream, 404, {}, "", yield);
+  }
+}
+
+void heartbeat_service::HandleHeartbeat(const net::h2_stream_ptr& stream,
+                                        net::yield yield) {
+  const auto body = ReadBody(*stream, state::kMaxHeartbeatBytes, yield);
+  if (!body) {
+    stream->Reset(net::h2_error::kEnhanceYourCalm);
+    return;
+  }
+  const auto message = state::DecodeHeartbeat(*body);
+  if (!message) {
+    Reply(*stream, 400, {}, message.last_reason().detail, yield);
+    return;
+  }
+  context_.directory->OnHeartbeat(*message);
+  auto answer = RunOn<state::heartbeat_answer>(
+      context_.control,
+      [this, &message] { return context_.scheduler->OnHeartbeat(*message); },
+      yield);
+  FillIn(*message, answer);
+  Reply(*stream, 200, {{"content-type", kCbor}}, state::EncodeAnswer(answer),
+        yield);
+  if (message->manifest_version > context_.reader->view()->published.version) {
+    AdoptNewer(*message, yield);
+  }
+}
+
+void heartbeat_service::FillIn(const state::heartbeat& message,
+                               state::heartbeat_answer& answer) const {
+  const auto view = context_.reader->view();
+  answer.entries = view->entries;
+  answer.manifest_version = view->published.version;
+  if (answer.epoch != 0) {
+    return;  // The scheduler has said whether the VM is in service.
+  }
+  if (const auto row = view->data_centres.find(message.data_centre);
+      row != view->data_centres.end()) {
+    answer.out_of_service = IsOut(row->second);
+    answer.out_version = row->second.version;
+  }
+}
+
+void heartbeat_service::HandleManifest(const net::h2_stream_ptr& stream,
+                                       net::yield yield) {
+  const auto view = context_.reader->view();
+  if (!view->manifest_text) {
+    Reply(*stream, 404, {}, "", yield);
+    return;
+  }
+  Reply(*stream, 200,
+        {{kManifestVersionHeader, std::to_string(view->published.version)}},
+        *view->manifest_text, yield);
+}
+
+void heartbeat_service::AdoptNewer(const state::heartbeat& message,
+                                   net::yield yield) {
+  const auto client = context_.peer(message.address);
+  if (!client) {
+    return;
+  }
+  const auto reply = net::Exchange(
+      *client,
+      {{":method", "GET"}, {":scheme", "http"}, {":path", kManifestPath}}, "",
+      config::kMaxManifestBytes, kFetchTimeout, yield);
+  if (!reply || reply->status != 200) {
+    return;
+  }
+  const std::string version(
+      net::FindHeader(reply->headers, kManifestVersionHeader));
+  if (version.empty() ||
+      version.find_first_not_of("0123456789") != std::string::npos ||
+      version.size() > 18) {
+    return;
+  }
+  RunOn<bool>(
+      context_.control,
+      [this, &reply, &version] {
+        return context_.reader->AdoptFromPeer(std::stoull(version), reply->body)
+            .has_value();
+      },
+      yield);
+}
+
+}  // namespace chiveglade::app
--- /dev/null
+++ b/src/app/lifecycle.cc
@@ -0,0 +1,100 @@
+#include "lifecycle.h"
+
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include "chiveglade/observe/log.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+struct repeated_work : std::enable_shared_from_this<repeated_work> {
+  repeated_work(strand on, millis every, std::function<void()> what)
+      : timer(on), interval(every), work(std::move(what)) {}
+
+  void Schedule() {
+    timer.expires_after(interval);
+    timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error) {
+            self->work();
+            self->Schedule();
+          }
+        });
+  }
+
+  net::asio::steady_timer timer;
+  millis interval;
+  std::function<void()> work;
+};
+
+}  // namespace
+
+void RunEvery(strand on, millis interval, std::function<void()> work) {
+  auto repeated =
+      std::make_shared<repeated_work>(on, interval, std::move(work));
+  net::asio::post(on, [repeated] {
+    repeated->work();
+    repeated->Schedule();
+  });
+}
+
+lifecycle::lifecycle(net::asio::io_context& loop, millis grace)
+    : loop_(loop),
+      strand_(net::asio::make_strand(loop)),
+      signals_(strand_, SIGTERM, SIGINT),
+      deadline_(strand_),
+      grace_(grace) {}
+
+void lifecycle::AddStopStep(std::string name, stop_step step) {
+  steps_.push_back({std::move(name), std::move(step)});
+}
+
+bool lifecycle::Run(uint32_t threads) {
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      Begin();
+    }
+  });
+  std::vector<std::thread> pool;
+  for (uint32_t i = 1; i < threads; ++i) {
+    pool.emplace_back([this] { loop_.run(); });
+  }
+  loop_.run();
+  for (auto& thread : pool) {
+    thread.join();
+  }
+  return graceful_;
+}
+
+void lifecycle::Begin() {
+  observe::LogInfo("stopping", {{"grace_ms", std::to_string(grace_.count())}});
+  deadline_.expires_after(grace_);
+  deadline_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      observe::LogWarning("stop_forced", {{"reason", "grace_passed"}});
+      loop_.stop();
+    }
+  });
+  RunStep(0);
+}
+
+void lifecycle::RunStep(size_t index) {
+  if (index == steps_.size()) {
+    graceful_ = true;
+    deadline_.cancel();
+    observe::LogInfo("stopped", {});
+    loop_.stop();
+    return;
+  }
+  steps_[index].run([this, index] {
+    net::asio::post(strand_, [this, index] {
+      observe::LogInfo("stop_step_done", {{"step", steps_[index].name}});
+      RunStep(index + 1);
+    });
+  });
+}
+
+}  // namespace chiveglade::app
--- a/src/app/operator_client.cc
+++ b/src/app/operator_client.cc
@@ -1,8 +1,8 @@
 #include "operator_client.h"
 
-#include <cctype>
 #include <iostream>
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "chiveglade/config/settings.h"
@@ -129,19 +129,4 @@
   return exit_code::kUnreachable;
 }
 
-std::string EscapeUrl(const std::string& text) {
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string out;
-  for (const unsigned char c : text) {
-    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
-      out += static_cast<char>(c);
-    } else {
-      out += '%';
-      out += kDigits[c >> 4];
-      out += kDigits[c & 0xf];
-    }
-  }
-  return out;
-}
-
 }  // namespace chiveglade::app
--- a/src/app/operator_client.h
+++ b/src/app/operator_client.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "exit_code.h"
+#include "url.h"
 
 namespace chiveglade::app {
 
@@ -41,9 +42,6 @@
                           const operator_call& call,
                           const print_fn& print);
 
-// Escapes one path segment or query value.
-std::string EscapeUrl(const std::string& text);
-
 }  // namespace chiveglade::app
 
 #endif  // CHIVEGLADE_APP_OPERATOR_CLIENT_H_
--- /dev/null
+++ b/src/app/role_commands.cc
@@ -0,0 +1,86 @@
+#include <iostream>
+
+#include "agent_role.h"
+#include "chiveglade/config/settings.h"
+#include "chiveglade/observe/log.h"
+#include "command_line.h"
+#include "entry_role.h"
+#include "files.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+constexpr size_t kMaxSettingsBytes = 1024 * 1024;
+
+// Reads the settings of a role, checks them, and runs it unless only the check
+// was asked for.
+template <typename Settings, typename Role>
+exit_code RunRole(const std::string& path,
+                  bool check_only,
+                  config::checked<Settings> (*parse)(const std::string&,
+                                                     const std::string&),
+                  const std::string& (*name_of)(const Settings&)) {
+  const auto text = ReadFile(path, kMaxSettingsBytes);
+  if (!text) {
+    std::cerr << text.last_reason().detail << "\n";
+    return exit_code::kInvalid;
+  }
+  const auto parsed = parse(*text, path);
+  for (const auto& problem : parsed.problems) {
+    std::cerr << config::ToString(problem) << "\n";
+  }
+  if (!parsed.value) {
+    return exit_code::kInvalid;
+  }
+  if (check_only) {
+    std::cout << path << ": no problems\n";
+    return exit_code::kDone;
+  }
+  observe::InitLogging("chiveglade", name_of(*parsed.value));
+  auto role = Role::Make(*parsed.value);
+  if (!role) {
+    observe::LogError("start_failed", {{"reason", role.last_reason().code},
+                                       {"detail", role.last_reason().detail}});
+    return exit_code::kFailed;
+  }
+  return (*role)->Run();
+}
+
+const std::string& EntryName(const config::entry_settings& in) {
+  return in.name;
+}
+
+const std::string& AgentName(const config::agent_settings& in) {
+  return in.vm;
+}
+
+}  // namespace
+
+void AddRoleCommands(CLI::App& app, command_fn& chosen) {
+  static std::string path;
+  static bool check_only = false;
+  auto* entry = app.add_subcommand(
+      "entry", "Take requests, operators' actions and heartbeats");
+  auto* agent =
+      app.add_subcommand("agent", "Run beside a worker and announce it");
+  for (auto* role : {entry, agent}) {
+    role->add_option("settings", path, "Settings file")->required();
+    role->add_flag("--check", check_only,
+                   "Only report the problems of the settings");
+  }
+  entry->callback([&chosen] {
+    chosen = [] {
+      return RunRole<config::entry_settings, entry_role>(
+          path, check_only, &config::ParseEntrySettings, &EntryName);
+    };
+  });
+  agent->callback([&chosen] {
+    chosen = [] {
+      return RunRole<config::agent_settings, agent_role>(
+          path, check_only, &config::ParseAgentSettings, &AgentName);
+    };
+  });
+}
+
+}  // namespace chiveglade::app
--- a/src/app/url.cc
+++ b/src/app/url.cc
@@ -1,5 +1,7 @@
 #include "url.h"
 
+#include <algorithm>
+#include <cctype>
 #include <optional>
 
 namespace chiveglade::app {
@@ -86,4 +88,19 @@
   return out;
 }
 
+std::string EscapeUrl(const std::string& text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string out;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
+      out += static_cast<char>(c);
+    } else {
+      out += '%';
+      out += kDigits[c >> 4];
+      out += kDigits[c & 0xf];
+    }
+  }
+  return out;
+}
+
 }  // namespace chiveglade::app
--- a/src/app/url.h
+++ b/src/app/url.h
@@ -24,6 +24,9 @@
 // Refuses malformed percent-encoding and repeated parameters.
 result<parsed_target> ParseTarget(const std::string& target);
 
+// Escapes one path segment or query value.
+std::string EscapeUrl(const std::string& text);
+
 }  // namespace chiveglade::app
 
 #endif  // CHIVEGLADE_APP_URL_H_
