Add the socket halves of routing: request_front and agent_proxy

Cause: callers speak HTTP/1.1 to entries, entries forward on HTTP/2 streams to agents, and agents speak HTTP/1.1 to the worker.

Change: request_front accepts callers on one coroutine for each connection and forwards by verdict with claims, retries and streaming both ways; agent_proxy queues by class and forwards over connections that are used again. class_queue accepts fewer connections than slots, since a manifest may declare that, and an agent that refused such a service would never announce it.

--- a/include/chiveglade/routing/class_queue.h
+++ b/include/chiveglade/routing/class_queue.h
@@ -47,8 +47,7 @@
   using ticket = uint64_t;
   using grant_callback = std::function<void(ticket, result<done>)>;
 
-  // Fails with "bad_options" if there are no slots, no classes, or fewer
-  // connections than slots.
+  // Fails with "bad_options" if there are no slots, connections or classes.
   static result<std::shared_ptr<class_queue>> Make(queue_options options,
                                                    clock_fn clock);
 
@@ -75,7 +74,8 @@
   void Tick();
 
   // Applies changed limits; requests of classes that are gone are refused with
-  // "unknown_class". Requests that hold slots are not touched.
+  // "unknown_class". Requests that hold slots are not touched. Options that
+  // Make would refuse change nothing.
   void Reconfigure(queue_options options);
 
   queue_load load() const;
--- /dev/null
+++ b/src/routing/caller_exchange.cc
@@ -0,0 +1,217 @@
+#include "caller_exchange.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <utility>
+
+#include "http_fields.h"
+
+namespace chiveglade::routing {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+std::string_view View(beast::string_view in) {
+  return {in.data(), in.size()};
+}
+
+std::string HexSize(size_t size) {
+  std::array<char, 16> text{};
+  const auto end =
+      std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
+  return {text.data(), end};
+}
+
+}  // namespace
+
+caller_exchange::caller_exchange(beast::tcp_stream& stream,
+                                 beast::flat_buffer& buffer,
+                                 const front_options& options,
+                                 const std::atomic<bool>& draining)
+    : stream_(stream), buffer_(buffer), options_(options), draining_(draining) {
+  parser_.emplace();
+  parser_->header_limit(static_cast<uint32_t>(options_.max_header_bytes));
+  parser_->body_limit(options_.max_body_bytes);
+}
+
+caller_exchange::arrival caller_exchange::ReadHeader(net::yield yield) {
+  error_code error;
+  stream_.expires_after(draining_ ? options_.drain_idle
+                                  : options_.idle_timeout);
+  http::async_read_header(stream_, buffer_, *parser_, yield[error]);
+  if (!error) {
+    close_ = !parser_->keep_alive();
+    return arrival::kRequest;
+  }
+  if (error == http::error::header_limit) {
+    return arrival::kHeaderTooLarge;
+  }
+  if (error == http::error::end_of_stream ||
+      error == http::error::partial_message ||
+      error.category() !=
+          http::make_error_code(http::error::end_of_stream).category()) {
+    return arrival::kClosed;
+  }
+  // A declared length above the limit is found with the header.
+  body_too_large_ = error == http::error::body_limit;
+  return body_too_large_ ? arrival::kRequest : arrival::kMalformed;
+}
+
+std::string_view caller_exchange::method() const {
+  return View(parser_->get().method_string());
+}
+
+std::string_view caller_exchange::target() const {
+  return View(parser_->get().target());
+}
+
+std::string_view caller_exchange::Field(std::string_view name) const {
+  return View(parser_->get()[beast::string_view(name.data(), name.size())]);
+}
+
+std::optional<uint64_t> caller_exchange::content_length() const {
+  const auto length = parser_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
+bool caller_exchange::has_unknown_encoding() const {
+  const auto& fields = parser_->get();
+  const auto count = fields.count(http::field::transfer_encoding);
+  return count > 1 ||
+         (count == 1 &&
+          !beast::iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
+bool caller_exchange::SendContinue(net::yield yield) {
+  if (continue_sent_ ||
+      !beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    return true;
+  }
+  continue_sent_ = true;
+  error_code error;
+  stream_.expires_after(options_.stall_timeout);
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  asio::async_write(stream_, asio::buffer(kContinue), yield[error]);
+  return !error;
+}
+
+result<size_t> caller_exchange::ReadBody(char* into,
+                                         size_t size,
+                                         net::yield yield) {
+  const reason gone{"caller_gone", "the connection of the caller was lost"};
+  if (!parser_->is_done() && !SendContinue(yield)) {
+    return gone;
+  }
+  auto& body = parser_->get().body();
+  body.data = into;
+  body.size = size;
+  while (body.size == size && !parser_->is_done()) {
+    error_code error;
+    stream_.expires_after(options_.stall_timeout);
+    http::async_read_some(stream_, buffer_, *parser_, yield[error]);
+    if (!error || error == http::error::need_buffer) {
+      continue;
+    }
+    close_ = true;
+    if (error == http::error::body_limit) {
+      return reason{"body_too_large", "the body is above the limit"};
+    }
+    if (error == beast::error::timeout) {
+      return reason{"body_timeout", "the body did not arrive in time"};
+    }
+    if (error != http::error::partial_message &&
+        error.category() ==
+            http::make_error_code(http::error::bad_chunk).category()) {
+      return reason{"bad_body", "the body is malformed"};
+    }
+    return gone;
+  }
+  return size - body.size;
+}
+
+void caller_exchange::CancelRead() {
+  close_ = true;
+  stream_.cancel();
+}
+
+void caller_exchange::StartAnswer(int status,
+                                  const net::header_list& fields,
+                                  std::optional<uint64_t> length) {
+  const bool has_body = HasAnswerBody(method(), status);
+  const bool http_1_1 = parser_->get().version() >= 11;
+  chunked_ = has_body && !length && http_1_1;
+  // What is left of the request could be taken for the next one.
+  close_ = close_ || !parser_->is_done() || !http_1_1 || draining_;
+  const auto reason_phrase =
+      http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  head_ = "HTTP/1.1 " + std::to_string(status) + " " +
+          std::string(reason_phrase) + "\r\n";
+  AppendFields(fields, head_);
+  if (chunked_) {
+    head_ += "transfer-encoding: chunked\r\n";
+  } else if (length && status != 204) {
+    head_ += "content-length: " + std::to_string(*length) + "\r\n";
+  }
+  head_ += close_ ? "connection: close\r\n\r\n" : "\r\n";
+}
+
+bool caller_exchange::Send(std::string_view prefix,
+                           std::string_view bytes,
+                           std::string_view suffix,
+                           net::yield yield) {
+  const std::string head = std::exchange(head_, {});
+  answer_sent_ = true;
+  const std::array<asio::const_buffer, 4> parts = {
+      asio::buffer(head), asio::buffer(prefix), asio::buffer(bytes),
+      asio::buffer(suffix)};
+  error_code error;
+  stream_.expires_after(options_.stall_timeout);
+  asio::async_write(stream_, parts, yield[error]);
+  close_ = close_ || error;
+  return !error;
+}
+
+bool caller_exchange::WriteBody(std::string_view bytes, net::yield yield) {
+  if (!chunked_) {
+    return Send({}, bytes, {}, yield);
+  }
+  return bytes.empty() ||
+         Send(HexSize(bytes.size()) + "\r\n", bytes, "\r\n", yield);
+}
+
+bool caller_exchange::EndAnswer(net::yield yield) {
+  const std::string_view last = chunked_ ? "0\r\n\r\n" : "";
+  answer_ended_ = (head_.empty() && last.empty()) || Send({}, last, {}, yield);
+  return answer_ended_;
+}
+
+bool caller_exchange::WriteAnswer(int status,
+                                  net::header_list fields,
+                                  std::string_view body,
+                                  net::yield yield) {
+  StartAnswer(status, fields, body.size());
+  const bool with_body = HasAnswerBody(method(), status);
+  answer_ended_ = WriteBody(with_body ? body : std::string_view(), yield);
+  return answer_ended_;
+}
+
+void caller_exchange::Abort() {
+  close_ = true;
+  error_code ignored;
+  // Closing with pending linger sends a reset instead of a regular end, which
+  // an HTTP/1.0 caller would take for the end of the body.
+  stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream_.close();
+}
+
+bool caller_exchange::CanContinue() const {
+  return !close_ && answer_ended_ && parser_->is_done();
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/src/routing/caller_exchange.h
@@ -0,0 +1,105 @@
+// One request and its answer on a caller's connection.
+#ifndef CHIVEGLADE_SRC_ROUTING_CALLER_EXCHANGE_H_
+#define CHIVEGLADE_SRC_ROUTING_CALLER_EXCHANGE_H_
+
+#include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "chiveglade/net/h2_stream.h"
+#include "chiveglade/routing/request_front.h"
+
+namespace chiveglade::routing {
+
+// Used by the coroutines of one connection, all on its strand. At most one of
+// them reads and one writes at a time.
+class caller_exchange {
+ public:
+  // How the arrival of a request ended.
+  enum class arrival { kRequest, kClosed, kMalformed, kHeaderTooLarge };
+
+  caller_exchange(boost::beast::tcp_stream& stream,
+                  boost::beast::flat_buffer& buffer,
+                  const front_options& options,
+                  const std::atomic<bool>& draining);
+
+  arrival ReadHeader(net::yield yield);
+
+  // Valid after ReadHeader returned kRequest.
+  std::string_view method() const;
+  std::string_view target() const;
+  std::string_view Field(std::string_view name) const;
+  const boost::beast::http::fields& fields() const { return parser_->get(); }
+  std::optional<uint64_t> content_length() const;
+  // Whether Transfer-Encoding is anything but "chunked", which proxies read
+  // differently and which could hide a second request.
+  bool has_unknown_encoding() const;
+  // Whether the declared length is above the limit.
+  bool body_too_large() const { return body_too_large_; }
+  bool body_done() const { return parser_->is_done(); }
+
+  // Reads at most `size` bytes of the body; 0 is its end. Fails with
+  // "body_too_large", "body_timeout", "bad_body" or "caller_gone".
+  result<size_t> ReadBody(char* into, size_t size, net::yield yield);
+
+  // Ends a pending ReadBody; the connection is closed after this exchange.
+  void CancelRead();
+
+  // Starts the answer: it is sent with the first part of the body. A body
+  // without a length is chunked.
+  void StartAnswer(int status,
+                   const net::header_list& fields,
+                   std::optional<uint64_t> length);
+  // Sends a part of the body; false if the caller is gone or reads nothing for
+  // too long.
+  bool WriteBody(std::string_view bytes, net::yield yield);
+  bool EndAnswer(net::yield yield);
+  // Answers with a whole body.
+  bool WriteAnswer(int status,
+                   net::header_list fields,
+                   std::string_view body,
+                   net::yield yield);
+
+  // Makes the connection fail at the caller, so that an incomplete answer
+  // cannot be taken for a whole one.
+  void Abort();
+
+  // Whether any byte of the answer was handed to the connection.
+  bool answer_sent() const { return answer_sent_; }
+  // The connection closes after this answer; call it before StartAnswer.
+  void CloseAfter() { close_ = true; }
+  // Whether another request may follow on the connection.
+  bool CanContinue() const;
+
+ private:
+  bool SendContinue(net::yield yield);
+  bool Send(std::string_view prefix,
+            std::string_view bytes,
+            std::string_view suffix,
+            net::yield yield);
+
+  boost::beast::tcp_stream& stream_;
+  boost::beast::flat_buffer& buffer_;
+  const front_options& options_;
+  const std::atomic<bool>& draining_;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::buffer_body>>
+      parser_;
+  std::string head_;  // not sent yet
+  bool body_too_large_ = false;
+  bool close_ = false;
+  bool chunked_ = false;
+  bool continue_sent_ = false;
+  bool answer_sent_ = false;
+  bool answer_ended_ = false;
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_SRC_ROUTING_CALLER_EXCHANGE_H_
--- /dev/null
+++ b/src/routing/forwarder.h
@@ -0,0 +1,76 @@
+// Carries one request of a caller to its end.
+#ifndef CHIVEGLADE_SRC_ROUTING_FORWARDER_H_
+#define CHIVEGLADE_SRC_ROUTING_FORWARDER_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "agent_try.h"
+#include "caller_exchange.h"
+#include "front_state.h"
+
+namespace chiveglade::routing {
+
+// Checks, claims, chooses targets, retries and answers. Used once.
+class forwarder {
+ public:
+  forwarder(front_state& front, caller_exchange& caller);
+  ~forwarder();
+  forwarder(const forwarder&) = delete;
+  forwarder& operator=(const forwarder&) = delete;
+
+  // The caller has been answered or aborted when this returns.
+  void Run(net::yield yield);
+
+  // Answers a request that could not be read.
+  void RunMalformed(bool header_too_large, net::yield yield);
+
+ private:
+  // A refusal, or where the caller is told what became of the request.
+  struct refusal {
+    int status = 503;
+    verdict ran = verdict::kNotRun;
+    std::string code;
+    std::string detail;
+    uint32_t retry_after_s = 0;  // 0: not told to retry
+  };
+  using refused = std::optional<refusal>;
+
+  refused Check();
+  refused CheckKey();
+  refused ReadStart(net::yield yield);
+  refused ReadUpTo(size_t limit, net::yield yield);
+  refused TakeClaim(net::yield yield);
+  refused OnClaim(claim_reply reply, net::yield yield);
+  void MakeFields();
+  void Forward(net::yield yield);
+  // The report of the last try; none if no target could be tried.
+  std::optional<try_report> TryTargets(net::yield yield);
+  bool MayTryAgain(const outcome& judged);
+  void Finish(const try_report& last, net::yield yield);
+  void EndClaim(const try_report& last, verdict ran);
+  refusal RefusalOf(const try_report& last) const;
+  void Refuse(const refusal& why, net::yield yield);
+  void Record(verdict ran, int status, const std::string& code);
+  refusal BodyRefusal(const reason& why) const;
+
+  front_state& front_;
+  caller_exchange& caller_;
+  const boot_time started_;
+  std::shared_ptr<const route_table> routes_;  // keeps `route_` alive
+  const route* route_ = nullptr;
+  forwarded_request request_;
+  std::string key_;  // Idempotency-Key, if the request needs a claim
+  std::optional<claim> claim_;
+  size_t reserved_ = 0;
+  bool opened_ = false;
+  uint32_t tries_ = 0;
+  // The least safe verdict of all tries: after one that may have run, a refusal
+  // of the next one does not make the request not_run.
+  verdict ran_ = verdict::kNotRun;
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_SRC_ROUTING_FORWARDER_H_
--- /dev/null
+++ b/src/routing/front_state.cc
@@ -0,0 +1,111 @@
+#include "front_state.h"
+
+#include <utility>
+#include <vector>
+
+namespace chiveglade::routing {
+
+front_state::front_state(front_options options, front_hooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      budget_(hooks_.clock) {}
+
+std::shared_ptr<const route_table> front_state::routes() {
+  const auto current = hooks_.manifest();
+  const std::lock_guard lock(routes_mutex_);
+  if (current && current != manifest_) {
+    if (auto made = route_table::Make(*current)) {
+      routes_ = *made;
+    }
+    manifest_ = current;
+  }
+  return routes_;
+}
+
+std::shared_ptr<net::h2_client> front_state::AgentAt(
+    const std::string& address) {
+  {
+    agent_map::const_accessor at;
+    if (agents_.find(at, address)) {
+      return at->second;
+    }
+  }
+  const auto parsed = config::ParseEndpoint(address);
+  auto made = parsed ? hooks_.connect(*parsed) : nullptr;
+  if (!made) {
+    return nullptr;
+  }
+  {
+    agent_map::accessor at;
+    if (!agents_.insert(at, address)) {
+      return at->second;  // another request was faster
+    }
+    at->second = made;
+  }
+  const std::lock_guard lock(addresses_mutex_);
+  addresses_.insert(address);
+  return made;
+}
+
+void front_state::CloseUnusedAgents() {
+  const auto known = hooks_.directory->Addresses();
+  std::vector<std::string> unused;
+  {
+    const std::lock_guard lock(addresses_mutex_);
+    for (const auto& each : addresses_) {
+      if (known.count(each) == 0) {
+        unused.push_back(each);
+      }
+    }
+    for (const auto& each : unused) {
+      addresses_.erase(each);
+    }
+  }
+  for (const auto& each : unused) {
+    std::shared_ptr<net::h2_client> closing;
+    {
+      agent_map::accessor at;
+      if (agents_.find(at, each)) {
+        closing = at->second;
+        agents_.erase(at);
+      }
+    }
+    if (closing) {
+      closing->Close();
+    }
+  }
+}
+
+void front_state::CloseAgents() {
+  std::set<std::string> all;
+  {
+    const std::lock_guard lock(addresses_mutex_);
+    all.swap(addresses_);
+  }
+  for (const auto& each : all) {
+    agent_map::accessor at;
+    if (agents_.find(at, each)) {
+      const auto closing = at->second;
+      agents_.erase(at);
+      closing->Close();
+    }
+  }
+}
+
+bool front_state::OpenRequest() {
+  if (open_.fetch_add(1) < options_.open_requests) {
+    return true;
+  }
+  --open_;
+  return false;
+}
+
+bool front_state::ReserveBody(size_t bytes) {
+  if (claimed_bytes_.fetch_add(bytes) + bytes <= options_.max_claimed_bytes) {
+    return true;
+  }
+  claimed_bytes_ -= bytes;
+  return false;
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/src/routing/front_state.h
@@ -0,0 +1,69 @@
+// What the connections of one request_front share.
+#ifndef CHIVEGLADE_SRC_ROUTING_FRONT_STATE_H_
+#define CHIVEGLADE_SRC_ROUTING_FRONT_STATE_H_
+
+#include <tbb/concurrent_hash_map.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "chiveglade/routing/request_front.h"
+#include "chiveglade/routing/retry_budget.h"
+#include "chiveglade/routing/route_table.h"
+
+namespace chiveglade::routing {
+
+// Thread-safe. Lock order: `routes_mutex_`, then a connection in `agents_`; no
+// lock is held while a hook is called.
+class front_state {
+ public:
+  front_state(front_options options, front_hooks hooks);
+
+  const front_options& options() const { return options_; }
+  const front_hooks& hooks() const { return hooks_; }
+  retry_budget& budget() { return budget_; }
+
+  // The routes of the manifest in force; null if there is none yet.
+  std::shared_ptr<const route_table> routes();
+
+  // The connection to an agent; null if the address is not one.
+  std::shared_ptr<net::h2_client> AgentAt(const std::string& address);
+  // Closes the connections to agents that are no longer known.
+  void CloseUnusedAgents();
+  // Closes all of them.
+  void CloseAgents();
+
+  // Counts an open request; false at the limit.
+  bool OpenRequest();
+  void CloseRequest() { --open_; }
+  uint32_t open_requests() const { return open_; }
+
+  // Reserves memory for a claimed request's body; false at the limit.
+  bool ReserveBody(size_t bytes);
+  void ReleaseBody(size_t bytes) { claimed_bytes_ -= bytes; }
+
+  std::atomic<bool> draining{false};
+
+ private:
+  using agent_map =
+      tbb::concurrent_hash_map<std::string, std::shared_ptr<net::h2_client>>;
+
+  const front_options options_;
+  const front_hooks hooks_;
+  retry_budget budget_;
+  std::mutex routes_mutex_;
+  std::shared_ptr<const config::manifest> manifest_;
+  std::shared_ptr<const route_table> routes_;
+  agent_map agents_;
+  std::mutex addresses_mutex_;
+  std::set<std::string> addresses_;  // keys of `agents_`
+  std::atomic<uint32_t> open_{0};
+  std::atomic<size_t> claimed_bytes_{0};
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_SRC_ROUTING_FRONT_STATE_H_
--- /dev/null
+++ b/src/routing/side_task.h
@@ -0,0 +1,55 @@
+// A second coroutine that works for a first one and ends before it.
+#ifndef CHIVEGLADE_SRC_ROUTING_SIDE_TASK_H_
+#define CHIVEGLADE_SRC_ROUTING_SIDE_TASK_H_
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <utility>
+
+#include "chiveglade/net/executor.h"
+
+namespace chiveglade::routing {
+
+// Runs on the strand of the first coroutine, which must call Join before
+// anything that the task refers to goes away.
+class side_task {
+ public:
+  template <typename Body>
+  void Start(net::yield yield, Body body) {
+    state_ = std::make_shared<state>(yield);
+    net::asio::spawn(
+        yield.get_executor(),
+        [kept = state_, run = std::move(body)](net::yield inner) mutable {
+          run(inner);
+          kept->done = true;
+          kept->finished.cancel();
+        },
+        net::asio::detached);
+  }
+
+  bool running() const { return state_ && !state_->done; }
+
+  // Waits until the task has returned.
+  void Join(net::yield yield) {
+    while (running()) {
+      boost::system::error_code ignored;
+      state_->finished.async_wait(yield[ignored]);
+    }
+  }
+
+ private:
+  struct state {
+    explicit state(const net::yield& yield)
+        : finished(yield.get_executor(),
+                   net::asio::steady_timer::time_point::max()) {}
+    net::asio::steady_timer finished;  // cancelled at the end, never expires
+    bool done = false;
+  };
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_SRC_ROUTING_SIDE_TASK_H_
--- /dev/null
+++ b/src/routing/worker_pool.h
@@ -0,0 +1,54 @@
+// HTTP/1.1 connections to the worker that can be used again.
+#ifndef CHIVEGLADE_SRC_ROUTING_WORKER_POOL_H_
+#define CHIVEGLADE_SRC_ROUTING_WORKER_POOL_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "chiveglade/core/clock.h"
+#include "chiveglade/net/executor.h"
+#include "chiveglade/routing/agent_proxy.h"
+
+namespace chiveglade::routing {
+
+// Thread-safe. Bounds nothing itself: a new connection is only made when none
+// is idle, so there are never more than the class_queue has granted at once.
+class worker_pool {
+ public:
+  using stream = boost::beast::tcp_stream;
+
+  worker_pool(const proxy_options& options, clock_fn clock);
+  ~worker_pool();
+  worker_pool(const worker_pool&) = delete;
+  worker_pool& operator=(const worker_pool&) = delete;
+
+  // A connection that was used before and that the worker has not closed, as
+  // far as can be seen; null if there is none.
+  std::unique_ptr<stream> TakeIdle(net::yield yield);
+
+  // A new connection; fails with "worker_unreachable".
+  result<std::unique_ptr<stream>> Connect(net::yield yield) const;
+
+  // Gives back a connection whose last answer was read to its end.
+  void Put(std::unique_ptr<stream> used);
+
+ private:
+  struct idle_socket {
+    int handle = -1;
+    boot_time since;
+  };
+
+  const boost::asio::ip::tcp::endpoint worker_;
+  const millis connect_timeout_;
+  const millis idle_timeout_;
+  const clock_fn clock_;
+  std::mutex mutex_;
+  std::vector<idle_socket> idle_;  // the last one was used last
+};
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_SRC_ROUTING_WORKER_POOL_H_
