--- a/src/sched/plan_draft.cc
+++ b/src/sched/plan_draft.cc
@@ -9,13 +9,15 @@
 
 bool plan_draft::Stop(vm_slot& slot, resident& target, const std::string& why) {
   const auto* task = state_.FindTask(target.attempt.task);
-  if (target.stopping || task == nullptr ||
+  // A cancelled task stops without an event of this planner.
+  const bool was_stopping = target.stopping;
+  target.stopping = true;
+  if (was_stopping || task == nullptr ||
       task->attempt != target.attempt.number ||
       (task->phase != state::task_phase::kRunning &&
        task->phase != state::task_phase::kStarting)) {
     return false;
   }
-  target.stopping = true;
   slot.dirty = true;
   Add(state::attempt_stopping{target.attempt, why});
   return true;
