--- a/src/sched/backfill.cc
+++ b/src/sched/backfill.cc
@@ -42,8 +42,8 @@
     return;
   }
   // Normal work evicts idle work only, whatever band the task has.
-  const auto victims =
-      preemption::Victims(*slot, job->spec.per_task, state::band::kNormal);
+  const auto victims = preemption::Victims(
+      *slot, job->spec.per_task, job->spec.per_task, state::band::kNormal);
   if (victims) {
     for (auto* victim : *victims) {
       draft.Stop(*slot, *victim, "reserved");
--- a/src/sched/departure.cc
+++ b/src/sched/departure.cc
@@ -84,8 +84,10 @@
     millis remaining;
   };
   std::vector<victim> victims;
+  bool none = true;
   for (auto* slot : leaving.slots) {
     for (auto& other : slot->residents) {
+      none = none && other.priority == state::band::kService;
       if (!other.stopping && other.priority != state::band::kService) {
         victims.push_back({slot, &other, Remaining(other, draft)});
       }
@@ -97,14 +99,13 @@
                : a.remaining > b.remaining;
   };
   std::stable_sort(victims.begin(), victims.end(), first);
-  const bool last = victims.size() <= limit;
   for (const auto& [slot, target, remaining] : victims) {
     if (limit == 0) {
       break;
     }
     limit -= draft.Stop(*slot, *target, leaving.why) ? 1 : 0;
   }
-  return last;
+  return none;
 }
 
 void departure::StopReplicas(const group& leaving,
--- a/src/sched/departure.h
+++ b/src/sched/departure.h
@@ -43,7 +43,8 @@
   };
   std::vector<group> Groups();
   void Empty(const group& leaving, plan_draft& draft);
-  // Stops up to `limit` batch attempts; returns true if none is left to stop.
+  // Stops up to `limit` batch attempts; returns true if none is left,
+  // not even one that is stopping.
   bool StopBatch(const group& leaving, size_t& limit, plan_draft& draft);
   void StopReplicas(const group& leaving, size_t limit, plan_draft& draft);
   // True if the replica may be stopped now.
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -25,21 +25,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// True if both the declaration and the corrected demand fit. On a VM that is
-// smaller than the corrected demand the whole VM is enough.
-bool HasRoom(const placement_request& request,
-             const vm_slot& slot,
-             const vm_room& room) {
-  if (!FitsWithin(request.spec->per_task, room.free)) {
-    return false;
-  }
-  const resources wanted{
-      std::min(request.expected.millicores, slot.capacity.millicores),
-      std::min(request.expected.memory_mib, slot.capacity.memory_mib),
-      request.expected.accelerators};
-  return FitsWithin(wanted, room.free);
-}
-
 }  // namespace
 
 const char* ToString(obstacle what) {
@@ -73,6 +58,22 @@
       pacer_(pacer),
       random_(random) {}
 
+resources placement::Wanted(const placement_request& request,
+                            const vm_slot& slot) {
+  return {std::min(request.expected.millicores, slot.capacity.millicores),
+          std::min(request.expected.memory_mib, slot.capacity.memory_mib),
+          request.expected.accelerators};
+}
+
+// Both the declaration and the corrected demand must fit. On a VM that is
+// smaller than the corrected demand, the whole VM is enough.
+bool placement::HasRoom(const placement_request& request,
+                        const vm_slot& slot,
+                        const vm_room& room) {
+  return FitsWithin(request.spec->per_task, room.free) &&
+         FitsWithin(Wanted(request, slot), room.free);
+}
+
 size_t placement::RandomStart() const {
   return random_() % std::max<size_t>(1, index_.slots().size());
 }
@@ -199,7 +200,8 @@
 
 bool placement::Tolerable(const placement_request& request,
                           const vm_slot& slot,
-                          boot_time now) const {
+                          boot_time now,
+                          bool urgent) const {
   if (options_.interference == interference_rule::kIgnore ||
       options_.placement != placement_rule::kScored ||
       request.spec->priority == state::band::kService) {
@@ -220,8 +222,8 @@
         slowdown += model_.Effect(victim.klass, other.klass, now);
       }
     }
-    if (slowdown * 100 >
-        options_.placement_margin * victim_class.slowdown_limit_pct) {
+    if (!urgent && slowdown * 100 > options_.placement_margin *
+                                        victim_class.slowdown_limit_pct) {
       return false;
     }
   }
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -66,15 +66,23 @@
                boot_time now,
                obstacle& why) const;
   // True if no latency-critical task on the VM would be slowed too much, and
-  // the job would not be slowed too much itself.
+  // untried pairs are not tried where they may not be. With `urgent`, a known
+  // slowdown is tolerated: the guard throttles it if it is real.
   bool Tolerable(const placement_request& request,
                  const vm_slot& slot,
-                 boot_time now) const;
+                 boot_time now,
+                 bool urgent = false) const;
+  // What the task needs on the VM by corrected demand, at most all of it.
+  static resources Wanted(const placement_request& request,
+                          const vm_slot& slot);
   // A step that visits every VM once, and a random first position.
   size_t Stride() const;
   size_t RandomStart() const;
 
  private:
+  static bool HasRoom(const placement_request& request,
+                      const vm_slot& slot,
+                      const vm_room& room);
   bool AllowedDataCentre(const state::job_spec& spec, uint16_t number) const;
   bool TrialAllowed(class_index victim,
                     const vm_slot& slot,
--- a/src/sched/preemption.cc
+++ b/src/sched/preemption.cc
@@ -10,9 +10,23 @@
 // Added cost of a higher band, so that idle work goes before normal work.
 constexpr double kBandCostMs = 60'000;
 
-resources Uncommitted(const vm_slot& slot) {
-  return slot.capacity - slot.held - slot.committed;
-}
+// Room of a VM by declarations and by corrected demands.
+struct room_balance {
+  resources declared;
+  resources expected;
+
+  void Free(const resident& leaving) {
+    declared += leaving.declared;
+    expected += leaving.expected;
+  }
+  void Take(const resident& staying) {
+    declared -= staying.declared;
+    expected -= staying.expected;
+  }
+  bool Holds(const resources& need, const resources& wanted) const {
+    return FitsWithin(need, declared) && FitsWithin(wanted, expected);
+  }
+};
 
 }  // namespace
 
@@ -31,13 +45,17 @@
                        hold_table& holds)
     : options_(options), index_(index), places_(places), holds_(holds) {}
 
-std::optional<std::vector<resident*>>
-preemption::Victims(vm_slot& slot, const resources& amount, state::band taker) {
-  resources free = Uncommitted(slot);
+std::optional<std::vector<resident*>> preemption::Victims(
+    vm_slot& slot,
+    const resources& declared,
+    const resources& wanted,
+    state::band taker) {
+  room_balance room{slot.capacity - slot.held - slot.committed,
+                    slot.capacity - slot.held - slot.expected};
   std::vector<resident*> lower;
   for (auto& other : slot.residents) {
     if (other.stopping) {
-      free += other.declared;
+      room.Free(other);
     } else if (MayEvict(taker, other.priority)) {
       lower.push_back(&other);
     }
@@ -47,20 +65,21 @@
   });
   std::vector<resident*> chosen;
   for (auto* victim : lower) {
-    if (FitsWithin(amount, free)) {
+    if (room.Holds(declared, wanted)) {
       break;
     }
-    free += victim->declared;
+    room.Free(*victim);
     chosen.push_back(victim);
   }
-  if (!FitsWithin(amount, free)) {
+  if (!room.Holds(declared, wanted)) {
     return std::nullopt;
   }
   // A later, larger victim may have made an earlier one needless.
   for (size_t i = chosen.size(); i-- > 0;) {
-    const auto without = free - chosen[i]->declared;
-    if (FitsWithin(amount, without)) {
-      free = without;
+    auto without = room;
+    without.Take(*chosen[i]);
+    if (without.Holds(declared, wanted)) {
+      room = without;
       chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
     }
   }
@@ -72,6 +91,7 @@
                           bool moving,
                           plan_draft& draft) {
   const auto& amount = request.spec->per_task;
+  const bool urgent = request.spec->priority == state::band::kUrgent;
   vm_slot* best = nullptr;
   std::vector<resident*> best_victims;
   double best_cost = 0;
@@ -84,10 +104,12 @@
     auto& slot = index_.slots()[position];
     obstacle why = obstacle::kNone;
     if (!FitsWithin(amount, slot.capacity) ||
-        !places_.Permits(request, slot, draft.now(), why)) {
+        !places_.Permits(request, slot, draft.now(), why) ||
+        !places_.Tolerable(request, slot, draft.now(), urgent)) {
       continue;
     }
-    auto victims = Victims(slot, amount, request.spec->priority);
+    auto victims = Victims(slot, amount, placement::Wanted(request, slot),
+                           request.spec->priority);
     if (!victims) {
       continue;
     }
--- a/src/sched/preemption.h
+++ b/src/sched/preemption.h
@@ -35,12 +35,15 @@
                 bool moving,
                 plan_draft& draft);
 
-  // Victims on one VM that free `amount`, cheapest first, or nothing if even
-  // all of a lower band would not be enough. Room already being freed by
-  // stopping attempts is counted.
-  static std::optional<std::vector<resident*>> Victims(vm_slot& slot,
-                                                       const resources& amount,
-                                                       state::band taker);
+  // Victims on one VM that free `declared` by declaration and `wanted` by
+  // corrected demand, cheapest first, or nothing if even all of a lower band
+  // would not be enough. Room already being freed by stopping attempts is
+  // counted.
+  static std::optional<std::vector<resident*>> Victims(
+      vm_slot& slot,
+      const resources& declared,
+      const resources& wanted,
+      state::band taker);
 
  private:
   const planner_options& options_;
--- /dev/null
+++ b/tests/sched/departure_test.cc
@@ -0,0 +1,162 @@
+#include "tests/sched/cluster_fixture.h"
+
+namespace chiveglade::sched {
+namespace {
+
+using state::attempt_granted;
+using state::attempt_stopping;
+using state::band;
+
+size_t Stopping(const cluster_fixture& c) {
+  size_t count = 0;
+  for (const auto& [name, job] : c.state.jobs()) {
+    for (const auto& task : job.tasks) {
+      count += task.phase == state::task_phase::kStopping ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+size_t Holding(const cluster_fixture& c, const std::string& data_centre) {
+  size_t count = 0;
+  for (const auto& [name, vm] : c.state.vms()) {
+    count += vm.data_centre == data_centre ? vm.tasks.size() : 0;
+  }
+  return count;
+}
+
+// Two data centres of eight VMs, with `batch` tasks and a service of four.
+void Fill(cluster_fixture& c, uint32_t batch) {
+  for (int i = 0; i < 16; ++i) {
+    c.AddVm("vm" + std::to_string(i), i < 8 ? "dc1" : "dc2",
+            "r" + std::to_string(i / 2));
+  }
+  auto service = c.Job("service:s", band::kService, 4, {4'000, 4'000, 0});
+  service.max_per_vm = 1;
+  c.Submit(service);
+  c.Submit(c.Job("batch", band::kNormal, batch, {1'000, 1'000, 0}));
+  for (int i = 0; i < 60; ++i) {
+    c.Step();
+  }
+}
+
+}  // namespace
+
+// Guards against a departure that stops everything at once.
+TEST_CASE("batch work leaves at a limited rate") {
+  cluster_fixture c;
+  Fill(c, 120);
+  const auto before = Holding(c, "dc1");
+  REQUIRE(before > 50);
+  c.view.data_centres["dc1"] = data_centre_phase::kOut;
+  c.PlanOnly();
+  CHECK(Stopping(c) == (before + 9) / 10);
+  // Nothing more while these are still stopping.
+  c.PlanOnly();
+  CHECK(Stopping(c) == (before + 9) / 10);
+}
+
+// Guards against replicas stopped early, together, or with no replacement.
+TEST_CASE("replicas leave last and one at a time, with room ready elsewhere") {
+  cluster_fixture c;
+  Fill(c, 60);
+  c.view.data_centres["dc1"] = data_centre_phase::kOut;
+  size_t least = 4;
+  bool batch_left = true;
+  for (int i = 0; i < 200 && Holding(c, "dc1") > 0; ++i) {
+    const auto stops = c.Of<attempt_stopping>(c.PlanOnly());
+    for (const auto& stop : stops) {
+      if (stop.attempt.task.job == "service:s") {
+        CHECK_FALSE(batch_left);
+        CHECK(stop.why == "data_centre_out");
+      }
+    }
+    size_t running = 0;
+    for (const auto& task : c.state.FindJob("service:s")->tasks) {
+      running += task.phase == state::task_phase::kRunning ? 1 : 0;
+    }
+    least = std::min(least, running);
+    c.Step();
+    batch_left = false;
+    for (const auto& task : c.state.FindJob("batch")->tasks) {
+      batch_left |= state::HoldsVm(task.phase) &&
+                    c.state.FindVm(task.vm.name)->data_centre == "dc1";
+    }
+  }
+  c.Step();
+  CHECK(Holding(c, "dc1") == 0);
+  CHECK(least == 3);
+  CHECK(Holding(c, "dc2") == 64);
+}
+
+// Guards against a departure that hangs on a service that fits nowhere else.
+TEST_CASE("a replica that cannot be placed elsewhere is stopped all the same") {
+  cluster_fixture c;
+  c.AddVm("vm1", "dc1");
+  auto service = c.Job("service:s", band::kService, 1);
+  service.data_centres = {"dc1"};
+  c.Submit(service);
+  c.Step();
+  c.view.data_centres["dc1"] = data_centre_phase::kOut;
+  CHECK(c.Of<attempt_stopping>(c.Step()).empty());
+  CHECK(c.Of<attempt_stopping>(c.Step(10'000)).size() == 1);
+  c.Step();
+  CHECK(c.Where("service:s").empty());
+}
+
+// Guards against a drained VM that keeps its work for ever.
+TEST_CASE("a drained VM is emptied") {
+  cluster_fixture c;
+  c.AddVm("vm1");
+  c.Submit(c.Job("j", band::kNormal, 4));
+  c.Step();
+  c.AddVm("vm2");
+  c.Must(state::vm_drained{"vm1"});
+  const auto stops = c.Of<attempt_stopping>(c.Step());
+  REQUIRE(stops.size() == 4);
+  CHECK(stops[0].why == "drained");
+  c.Step();
+  CHECK(c.state.FindVm("vm2")->tasks.size() == 4);
+}
+
+// Guards against a rush of starts into a data centre that has just returned.
+TEST_CASE("starts in a returning data centre ramp up over a minute") {
+  cluster_fixture c;
+  for (int i = 0; i < 10; ++i) {
+    c.AddVm("vm" + std::to_string(i));
+  }
+  c.view.data_centres["dc1"] = data_centre_phase::kReturning;
+  c.view.returned_at["dc1"] = c.view.now;
+  c.Submit(c.Job("j", band::kNormal, 160, {1'000, 1'000, 0}));
+  c.Step();
+  CHECK(Holding(c, "dc1") == 8);
+  for (int i = 0; i < 30; ++i) {
+    c.Step(1'000);
+  }
+  CHECK(Holding(c, "dc1") > 70);
+  CHECK(Holding(c, "dc1") < 100);
+  for (int i = 0; i < 32; ++i) {
+    c.Step(1'000);
+  }
+  CHECK(Holding(c, "dc1") == 160);
+}
+
+// Guards against a wave of starts on one VM after a wave of cancellations.
+TEST_CASE("starts are paced overall and on each VM") {
+  cluster_fixture c;
+  c.AddVm("vm1", "dc1", "r1", {1'000'000, 1'000'000, 0});
+  for (int i = 0; i < 100; ++i) {
+    c.AddVm("w" + std::to_string(i), "dc1", "r1", {100'000, 100'000, 0});
+  }
+  c.Submit(c.Job("j", band::kNormal, 900, {1'000, 1'000, 0}));
+  size_t started = 0;
+  for (int i = 0; i < 10; ++i) {
+    started += c.Of<attempt_granted>(c.Step()).size();
+  }
+  CHECK(started == 400);
+  for (const auto& [name, vm] : c.state.vms()) {
+    CHECK(vm.tasks.size() <= 8);
+  }
+}
+
+}  // namespace chiveglade::sched
