sched: property test of plans on random clusters

Cause: events of a plan must be accepted in order whatever the state. Change: rapidcheck over seeds that drive random jobs, ends, reports and operators' actions; checks acceptance, capacity, quota, spread and exclusions at each grant. A task that failed on every VM may return to one.

--- a/src/sched/starter.cc
+++ b/src/sched/starter.cc
@@ -172,6 +172,11 @@
       .job_hash = std::hash<std::string>{}(spec.name),
       .klass = with_.classes.Index(spec.klass),
       .failed_on = with_.health.FailedOn({spec.name, index})};
+  // With failures on every VM there is no other left to prefer.
+  if (request.failed_on != nullptr &&
+      request.failed_on->size() >= with_.index.slots().size()) {
+    request.failed_on = nullptr;
+  }
   request.expected = with_.demand.Expected(request.klass, spec.per_task,
                                            with_.index.largest());
   if (NeedsSpread(spec)) {
--- /dev/null
+++ b/tests/sched/property_test.cc
@@ -0,0 +1,177 @@
+#include <rapidcheck.h>
+
+#include "tests/sched/cluster_fixture.h"
+
+namespace chiveglade::sched {
+namespace {
+
+using state::band;
+
+// Random clusters, jobs, ends, operators' actions and reports, from a seed.
+class random_cluster {
+ public:
+  explicit random_cluster(uint64_t seed) : c_({}, seed), random_(seed) {
+    for (uint64_t i = 0, count = 2 + Below(12); i < count; ++i) {
+      Join("vm" + std::to_string(i), 1);
+    }
+    for (auto& tenant : c_.manifest.tenants) {
+      tenant.quota = {static_cast<int64_t>(Below(100'000)),
+                      static_cast<int64_t>(Below(400'000)), 8};
+    }
+    c_.policy->SetManifest(c_.manifest);
+  }
+
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      Disturb();
+      Plan();
+    }
+  }
+
+ private:
+  uint64_t Below(uint64_t limit) { return random_() % limit; }
+  std::string Place() { return "dc" + std::to_string(Below(3)); }
+
+  void Join(const std::string& name, uint64_t incarnation) {
+    c_.Must(state::vm_joined{{name, incarnation},
+                             "dc" + std::to_string(name.back() % 3),
+                             "r" + std::to_string(name.back() % 4),
+                             {16'000, 60'000, name.back() % 3 ? 0 : 4}});
+  }
+  void Submit() {
+    auto spec = cluster_fixture::Job(
+        "j" + std::to_string(jobs_++), static_cast<band>(Below(4)),
+        1 + static_cast<uint32_t>(Below(8)),
+        {static_cast<int64_t>(100 + Below(9'000)),
+         static_cast<int64_t>(100 + Below(30'000)),
+         Below(5) ? 0 : static_cast<int64_t>(Below(6))});
+    spec.tenant = Below(8) ? (Below(2) ? "a" : "b") : "unknown";
+    spec.klass = Below(3) ? spec.klass : "strict";
+    spec.max_per_vm = static_cast<uint32_t>(Below(3));
+    spec.max_per_rack = static_cast<uint32_t>(Below(3));
+    if (Below(4) == 0) {
+      spec.data_centres = {Place()};
+    }
+    c_.Submit(spec);
+  }
+  void Operators() {
+    const auto vm = "vm" + std::to_string(Below(8));
+    switch (Below(5)) {
+      case 0:
+        c_.Must(state::vm_drained{vm, Below(2) == 0});
+        break;
+      case 1:
+        c_.view.silent = {vm};
+        break;
+      case 2:
+        c_.view.silent.clear();
+        break;
+      default: {
+        const auto place = Place();
+        c_.view.data_centres[place] = static_cast<data_centre_phase>(Below(3));
+        c_.view.returned_at[place] = c_.view.now;
+      }
+    }
+  }
+  // Plays agents: starts, ends, and reports with random measurements.
+  void Agents() {
+    for (const auto& [name, vm] : std::map(c_.state.vms())) {
+      state::heartbeat beat;
+      beat.vm = vm.id;
+      for (const auto& id : vm.tasks) {
+        const auto* task = c_.state.FindTask(id);
+        const state::attempt_id attempt{id, task->attempt};
+        beat.attempts.push_back(
+            {.attempt = attempt,
+             .used = {static_cast<int64_t>(Below(20'000)),
+                      static_cast<int64_t>(Below(40'000)), 0},
+             .work_done = millis(static_cast<int64_t>(Below(100'000))),
+             .slowdown_pct = static_cast<uint32_t>(Below(300))});
+        if (task->phase == state::task_phase::kStarting && Below(2)) {
+          c_.Must(state::attempt_running{attempt});
+        } else if (Below(6) == 0) {
+          c_.End(attempt, static_cast<state::attempt_end>(Below(5)));
+        }
+      }
+      c_.policy->Observe(beat, c_.view.now);
+    }
+  }
+  void Disturb() {
+    for (uint64_t i = Below(4); i > 0; --i) {
+      Submit();
+    }
+    if (Below(3) == 0) {
+      Operators();
+    }
+    if (jobs_ > 0 && Below(6) == 0) {
+      const auto job = "j" + std::to_string(Below(jobs_));
+      c_.Must(state::job_cancelled{job});
+    }
+    Agents();
+    if (Below(10) == 0) {
+      Replace();
+    }
+  }
+  void Replace() {
+    const auto vm = c_.state.vms().begin()->second;
+    for (const auto& id : vm.tasks) {
+      c_.End({id, c_.state.FindTask(id)->attempt}, state::attempt_end::kLost);
+    }
+    Join(vm.id.name, vm.id.incarnation + 1);
+  }
+
+  void Plan() {
+    c_.view.now += millis(static_cast<int64_t>(Below(12'000)));
+    const auto made = c_.policy->Plan(c_.state, c_.view);
+    for (const auto& change : made.events) {
+      const auto outcome = c_.state.Apply(change);
+      RC_ASSERT(outcome.has_value());
+      if (const auto* grant = std::get_if<state::attempt_granted>(&change)) {
+        CheckGrant(*grant);
+      }
+    }
+  }
+  void CheckGrant(const state::attempt_granted& grant) {
+    const auto& vm = *c_.state.FindVm(grant.vm.name);
+    const auto& spec = c_.state.FindJob(grant.attempt.task.job)->spec;
+    RC_ASSERT(FitsWithin(vm.committed, vm.capacity));
+    const auto place = c_.view.data_centres.find(vm.data_centre);
+    RC_ASSERT(place == c_.view.data_centres.end() ||
+              place->second != data_centre_phase::kOut);
+    RC_ASSERT(!c_.view.silent.contains(vm.id.name));
+    RC_ASSERT(!c_.state.drained().contains(vm.id.name));
+    RC_ASSERT(spec.tenant != "unknown");
+    const auto& quota = c_.manifest.tenants[spec.tenant == "a" ? 0 : 1].quota;
+    RC_ASSERT(FitsWithin(c_.state.usage().at(spec.tenant), quota));
+    size_t on_vm = 0;
+    size_t in_rack = 0;
+    for (const auto& task : c_.state.FindJob(spec.name)->tasks) {
+      if (state::HoldsVm(task.phase)) {
+        const auto& other = *c_.state.FindVm(task.vm.name);
+        on_vm += task.vm.name == vm.id.name ? 1 : 0;
+        in_rack += other.rack == vm.rack && other.data_centre == vm.data_centre
+                       ? 1
+                       : 0;
+      }
+    }
+    RC_ASSERT(spec.max_per_vm == 0 || on_vm <= spec.max_per_vm);
+    RC_ASSERT(spec.max_per_rack == 0 || in_rack <= spec.max_per_rack);
+  }
+
+  cluster_fixture c_;
+  random_engine random_;
+  uint64_t jobs_ = 0;
+};
+
+}  // namespace
+
+// Guards against plans that the durable state refuses, and against grants
+// beyond capacity, quota or spread, or where nothing may start.
+TEST_CASE("any plan is accepted and keeps every limit") {
+  CHECK(rc::check([](uint64_t seed) {
+    random_cluster cluster(seed);
+    cluster.Run(40);
+  }));
+}
+
+}  // namespace chiveglade::sched
