--- a/include/chiveglade/agent/agent_core.h
+++ b/include/chiveglade/agent/agent_core.h
@@ -47,7 +47,8 @@
                                                   clock_fn clock);
   ~agent_core();
 
-  // The next heartbeat. Must only be called once announces() is true.
+  // The next heartbeat. Must only be called once announces() is true. It is
+  // partial until ready() is true.
   state::heartbeat MakeHeartbeat();
 
   // The answer to `asked`. Grants extend only attempts that `asked` reported:
@@ -108,6 +109,7 @@
  private:
   agent_core(agent_options options, clock_fn clock);
 
+  void AddReports(state::heartbeat& out) const;
   void TakeOutOfService(const state::heartbeat_answer& answer);
   void TakeOrders(const state::heartbeat& asked,
                   const state::heartbeat_answer& answer);
@@ -149,7 +151,8 @@
   state::heartbeat newest_heartbeat_;
   uint64_t boot_ = 0;
   uint64_t sequence_ = 0;
-  uint64_t epoch_ = 0;  // highest seen; answers of lower ones are stale
+  uint64_t epoch_ = 0;         // highest seen; answers of lower ones are stale
+  int64_t answered_tick_ = 0;  // highest that `epoch_` answered
   uint64_t throttle_sequence_ = 0;
   bool ready_ = false;
   bool leaving_ = false;
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -56,17 +56,33 @@
   if (options_.targets) {
     out.targets = options_.targets();
   }
+  out.answered_epoch = epoch_;
+  out.answered_tick = answered_tick_;
+  wants_heartbeat_ = false;
+  // Before the list is settled, absence from a report would prove nothing.
+  out.partial = !ready_;
+  if (ready_) {
+    AddReports(out);
+  }
+  newest_heartbeat_ = out;
+  return out;
+}
+
+void agent_core::AddReports(state::heartbeat& out) const {
+  const boot_time now = clock_();
   for (const auto& [id, record] : ledger_->records()) {
-    if (record.phase == attempt_phase::kRunning ||
-        record.phase == attempt_phase::kStopping) {
+    const bool known = record.phase == attempt_phase::kRunning ||
+                       record.phase == attempt_phase::kStopping;
+    // Once its order has expired, the scheduler takes an attempt that is not
+    // reported for one that never ran.
+    const bool unsettled = record.phase == attempt_phase::kStarting &&
+                           now >= record.not_after - kStartCallLimit;
+    if (known || unsettled) {
       out.attempts.push_back(record.report);
     } else if (record.phase == attempt_phase::kEnded && !record.acknowledged) {
       out.ends.push_back({record.end});
     }
   }
-  wants_heartbeat_ = false;
-  newest_heartbeat_ = out;
-  return out;
 }
 
 void agent_core::SetManifest(uint64_t version,
--- a/src/agent/agent_core_answer.cc
+++ b/src/agent/agent_core_answer.cc
@@ -21,6 +21,8 @@
   if (answer.epoch == 0 || answer.epoch < epoch_) {
     return;
   }
+  answered_tick_ =
+      answer.epoch > epoch_ ? asked.tick : std::max(answered_tick_, asked.tick);
   epoch_ = answer.epoch;
   for (const auto& attempt : answer.acknowledged) {
     if (auto* record = ledger_->Find(attempt);
--- a/tests/agent/agent_world.cc
+++ b/tests/agent/agent_world.cc
@@ -1,6 +1,7 @@
 #include "agent_world.h"
 
 #include <algorithm>
+#include <set>
 
 namespace chiveglade::testing {
 
@@ -15,6 +16,7 @@
 constexpr millis kRunLease{5'000};
 // Short leases, so that they end within a scenario.
 constexpr millis kWorkerLease{3'000};
+constexpr millis kStartMargin{500};
 constexpr millis kStep{50};
 
 }  // namespace
@@ -167,6 +169,12 @@
     TakeIncarnation(beat.vm.incarnation);
   }
   newest_tick_ = std::max(newest_tick_, beat.tick);
+  if (beat.partial) {
+    answer.grants = false;
+    answers_.push_back(std::move(out));
+    return;
+  }
+  ConcludeNotRun(beat);
   for (const auto& report : beat.attempts) {
     const auto& task = tasks_[report.attempt.task.job];
     if (!task.held || task.number != report.attempt.number) {
@@ -187,6 +195,28 @@
   answers_.push_back(std::move(out));
 }
 
+// The scheduler takes a granted attempt for one that never ran if a heartbeat
+// made after the order's expiry does not show it.
+void agent_world::ConcludeNotRun(const state::heartbeat& beat) {
+  std::set<state::attempt_id> shown;
+  for (const auto& report : beat.attempts) {
+    shown.insert(report.attempt);
+  }
+  for (auto& [name, task] : tasks_) {
+    const state::attempt_id id{{name, 0}, task.number};
+    if (!task.held || shown.contains(id) ||
+        beat.tick <
+            task.tick + (state::kStartValidity + kStartMargin).count()) {
+      continue;
+    }
+    task.held = false;
+    const auto live = worker_.live();
+    if (std::count(live.begin(), live.end(), id) != 0) {
+      problems_.push_back(name + " runs and was not shown");
+    }
+  }
+}
+
 void agent_world::TakeEnd(const state::attempt_ended& end) {
   const auto& id = end.attempt;
   const auto past = worker_.history().find(id);
--- a/tests/agent/agent_world.h
+++ b/tests/agent/agent_world.h
@@ -68,6 +68,7 @@
   uint64_t Draw(uint64_t below) { return random_() % below; }
   void Execute(call_in_flight& what, bool lose_answer);
   void TakeHeartbeat(const state::heartbeat& beat);
+  void ConcludeNotRun(const state::heartbeat& beat);
   void TakeEnd(const state::attempt_ended& end);
   void TakeIncarnation(uint64_t incarnation);
   void CheckRunning();
