--- a/include/chiveglade/agent/heartbeat_schedule.h
+++ b/include/chiveglade/agent/heartbeat_schedule.h
@@ -52,6 +52,8 @@
 
   // Makes every known entry due at once, to announce that the agent leaves.
   void MakeAllDue(boot_time now);
+  // True once every entry that MakeAllDue made due has answered or failed.
+  bool AllTold(boot_time now) const;
 
   // The entry that schedules as far as known; may be empty.
   const std::string& scheduler() const { return scheduler_; }
@@ -72,6 +74,7 @@
     boot_time answered{};
     uint32_t failures = 0;
     bool under_way = false;
+    bool told = true;  // a heartbeat was sent since MakeAllDue
   };
 
   heartbeat_schedule(schedule_options options, random_fn random);
--- a/src/agent/heartbeat_schedule.cc
+++ b/src/agent/heartbeat_schedule.cc
@@ -56,6 +56,7 @@
       continue;
     }
     to.under_way = true;
+    to.told = true;
     to.sent = now;
     to.next = now + Interval(address, to);
     due.push_back({address, Full(address, to)});
@@ -177,9 +178,17 @@
 void heartbeat_schedule::MakeAllDue(boot_time now) {
   for (auto& [address, to] : peers_) {
     to.next = now;
+    to.told = false;
   }
 }
 
+bool heartbeat_schedule::AllTold(boot_time now) const {
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& at) {
+    const auto& to = at.second;
+    return !Used(to, now) || (to.told && !to.under_way);
+  });
+}
+
 size_t heartbeat_schedule::listed() const {
   return static_cast<size_t>(
       std::count_if(peers_.begin(), peers_.end(),
