Test the scheduler under faults of the store, entries and VMs

Cause: takeover, fencing, lost answers, leases and incarnations are where a scheduler breaks the invariants.

--- a/tests/authority/authority_world.cc
+++ b/tests/authority/authority_world.cc
@@ -173,4 +173,34 @@
   }
 }
 
+running_world::running_world() {
+  AddEntry("e1");
+  REQUIRE(PassUntilHeld());
+  Beat(vm, *holder());
+  Pass(millis(200));
+  Declare("a");
+  BeatFor(millis(1'000));
+  REQUIRE(vm.running.size() == 1);
+  BeatFor(millis(1'000));
+}
+
+void running_world::BeatFor(millis time) {
+  for (const boot_time end = now + time; now < end;) {
+    Pass(millis(500));
+    if (auto* to = holder()) {
+      Beat(vm, *to);
+    }
+    Pass(millis(500));
+  }
+  if (auto* to = holder()) {
+    Beat(vm, *to);
+  }
+}
+
+state::task running_world::Task() {
+  const auto* at =
+      holder() ? holder()->committed().FindTask({"a", 0}) : nullptr;
+  return at ? *at : state::task{};
+}
+
 }  // namespace chiveglade::testing
--- a/tests/authority/authority_world.h
+++ b/tests/authority/authority_world.h
@@ -73,6 +73,17 @@
   random_engine random_{20261204};
 };
 
+// One entry that holds the role, and a VM that has joined and runs task a/0.
+struct running_world : authority_world {
+  running_world();
+  // Heartbeats of the VM to the holder each second, the first after 0.5 s.
+  void BeatFor(millis time);
+  // The task as the holder has it, or a default one.
+  state::task Task();
+
+  test_vm vm{.id = {"v1", 7}};
+};
+
 }  // namespace chiveglade::testing
 
 #endif  // CHIVEGLADE_TESTS_AUTHORITY_AUTHORITY_WORLD_H_
--- /dev/null
+++ b/tests/authority/fault_test.cc
@@ -0,0 +1,333 @@
+// The scheduler under faults of the store, of entries and of VMs.
+#include <catch2/catch.hpp>
+
+#include "chiveglade/authority/commands.h"
+#include "tests/authority/authority_world.h"
+
+namespace chiveglade::authority {
+
+namespace {
+
+using state::task_phase;
+using testing::authority_world;
+using testing::running_world;
+using testing::store_fault;
+using testing::test_vm;
+
+// Every append meets the fault.
+testing::store_fault_fn OnAppends(store_fault fault) {
+  return [fault](const std::string& call, const std::string& key) {
+    return call == "commit" && key == kHeadKey ? fault : store_fault::kNone;
+  };
+}
+
+testing::store_fault_fn Always(store_fault fault) {
+  return [fault](const std::string&, const std::string&) { return fault; };
+}
+
+void Send(authority_world& world, const command& order) {
+  SendCommand(world.store.table(), order, [](const command_outcome& outcome) {
+    CHECK(outcome.status == command_status::kAccepted);
+  });
+}
+
+}  // namespace
+
+// Guards against two entries that both let effects out, and against a
+// predecessor's append that arrives after the takeover.
+TEST_CASE("a held append fails after another entry has taken over") {
+  running_world world;
+  world.AddEntry("e2");
+  world.Pass(millis(1'500));
+  CHECK_FALSE(world.entry("e2").holds());
+  world.store.SetFaults(OnAppends(store_fault::kHold));
+  world.Declare("b");
+  world.Pass(millis(200));
+  REQUIRE(world.store.held() == 1);
+  world.store.SetFaults(nullptr);
+  world.Pass(millis(5'000));
+  REQUIRE(world.entry("e2").holds());
+  const auto state = world.entry("e2").committed();
+  world.store.ReleaseHeld();
+  CHECK_FALSE(world.entry("e1").holds());
+  CHECK(world.entry("e1").counters().losses == 1);
+  CHECK(world.entry("e2").committed() == state);
+  CHECK(world.entry("e1").OnHeartbeat(world.Message(world.vm)).epoch == 0);
+}
+
+// Guards against a holder that goes on after a pause in which it was replaced.
+TEST_CASE("a paused holder becomes an ordinary entry") {
+  running_world world;
+  world.AddEntry("e2");
+  world.Pass(millis(500));
+  world.Pause("e1");
+  const boot_time paused = world.now;
+  REQUIRE(world.PassUntilHeld());
+  CHECK(world.holder() == &world.entry("e2"));
+  CHECK(world.now - paused <= millis(4'600));
+  // Its answer before it notices vouches for nothing after its last append.
+  const auto answer = world.entry("e1").OnHeartbeat(world.Message(world.vm));
+  CHECK(answer.append_age >= world.now - paused);
+  world.Resume("e1");
+  world.Pass(millis(1'200));
+  CHECK_FALSE(world.entry("e1").holds());
+  CHECK(world.entry("e1").scheduler_address() == "e2:1");
+}
+
+// Guards against an append that is counted twice or dropped when its answer,
+// or the request itself, is lost.
+TEST_CASE("an append with an unknown outcome is settled before any effect") {
+  const auto fault =
+      GENERATE(store_fault::kLoseAnswer, store_fault::kLoseRequest);
+  running_world world;
+  const uint64_t epoch = world.holder()->epoch();
+  world.store.SetFaults(Always(fault));
+  world.Declare("b");
+  world.Pass(millis(3'000));
+  CHECK(world.Beat(world.vm, *world.holder()).starts.empty());
+  world.store.SetFaults(nullptr);
+  world.BeatFor(millis(3'000));
+  CHECK(world.vm.running.size() == 2);
+  CHECK(world.holder()->epoch() == epoch);
+  // A successor reads the same state from the store.
+  const auto before = world.holder()->committed();
+  world.Kill("e1");
+  world.AddEntry("e2");
+  REQUIRE(world.PassUntilHeld());
+  CHECK(world.holder()->committed() == before);
+}
+
+// Guards against effects and takeovers while the store is down, and against
+// grants that are extended by a scheduler that cannot append.
+TEST_CASE("while the store is down nothing starts and grants age") {
+  const auto fault = GENERATE(store_fault::kRefuse, store_fault::kLoseRequest);
+  running_world world;
+  world.AddEntry("e2");
+  world.Pass(millis(1'000));
+  const uint64_t epoch = world.holder()->epoch();
+  world.store.SetFaults(Always(fault));
+  world.Declare("b");
+  for (int second = 0; second < 20; ++second) {
+    world.Pass(millis(1'000));
+    const auto answer = world.Beat(world.vm, world.entry("e1"));
+    CHECK(answer.starts.empty());
+    CHECK(answer.append_age >= millis(1'000) * second);
+  }
+  world.store.SetFaults(nullptr);
+  world.BeatFor(millis(3'000));
+  CHECK(world.entry("e1").holds());
+  CHECK(world.holder()->epoch() == epoch);
+  CHECK(world.vm.running.size() == 2);
+}
+
+// Guards against a gap in scheduling when an entry stops on purpose.
+TEST_CASE("a released role is taken over without waiting for the lease") {
+  running_world world;
+  world.AddEntry("e2");
+  world.Pass(millis(1'000));
+  bool released = false;
+  world.entry("e1").Release([&released] { released = true; });
+  world.Pass(millis(1'700));
+  CHECK(released);
+  CHECK_FALSE(world.entry("e1").holds());
+  CHECK(world.entry("e2").holds());
+  world.Kill("e2");
+  world.Pass(millis(8'000));
+  CHECK_FALSE(world.entry("e1").holds());
+}
+
+// Guards against a start that is granted after its data centre was taken out.
+TEST_CASE("a data centre taken out during an append stops its grants") {
+  running_world world;
+  world.store.SetFaults(OnAppends(store_fault::kHold));
+  world.Declare("b");
+  world.Pass(millis(150));
+  REQUIRE(world.store.held() == 1);
+  world.store.SetFaults(nullptr);
+  ChangeDataCentre(world.store.table(),
+                   {"dc1", 0, {true, "", "ann", "fire", "n1"}},
+                   [](const command_outcome& outcome) {
+                     CHECK(outcome.status == command_status::kAccepted);
+                   });
+  world.store.ReleaseHeld();
+  world.BeatFor(millis(3'000));
+  CHECK(world.holder()->counters().stale_batches == 1);
+  CHECK(world.holder()->committed().FindTask({"b", 0})->attempt == 0);
+  CHECK(world.vm.running.empty());
+  const auto answer = world.Beat(world.vm, *world.holder());
+  CHECK(answer.out_of_service);
+  CHECK(world.Task().phase == task_phase::kPending);
+  CHECK(world.Task().checkpoint == "checkpoint");
+}
+
+// Guards against a rerun while a VM whose clock is slow still runs the task.
+TEST_CASE("a run lease expires for the scheduler after it has for the agent") {
+  const bool successor = GENERATE(false, true);
+  running_world world;
+  // The agent's clock is slow and the scheduler's fast, both by the most that
+  // is allowed for.
+  world.vm.clock_rate = (1.0 - kMaxClockRateError) / (1.0 + kMaxClockRateError);
+  world.vm.tick_offset = 1'000'000;
+  const auto message = world.Message(world.vm);
+  const auto answer = world.holder()->OnHeartbeat(message);
+  REQUIRE(answer.grants);
+  const int64_t until = message.tick - answer.append_age.count() + 60'000;
+  if (successor) {
+    world.Kill("e1");
+    world.AddEntry("e2");
+    REQUIRE(world.PassUntilHeld());
+  }
+  while (world.Task().phase == task_phase::kRunning) {
+    world.Pass(millis(100));
+    REQUIRE(world.Message(world.vm).tick < until + 10'000);
+  }
+  CHECK(world.Task().phase == task_phase::kPending);
+  CHECK(world.Message(world.vm).tick > until);
+}
+
+// Guards against a delayed heartbeat of a replaced VM that ends the attempts of
+// its successor, and against a replacement that is never believed.
+TEST_CASE("a VM is replaced only by a proven newer incarnation") {
+  running_world world;
+  test_vm older{.id = {"v1", 3}};
+  const auto delayed = world.Message(older);
+  for (int copy = 0; copy < 3; ++copy) {
+    world.holder()->OnHeartbeat(delayed);
+    world.BeatFor(millis(1'000));
+  }
+  CHECK(world.Task().phase == task_phase::kRunning);
+  test_vm newer{.id = {"v1", 9}};
+  world.Beat(newer, *world.holder());
+  world.Pass(millis(500));
+  CHECK(world.Task().phase == task_phase::kRunning);
+  world.Beat(newer, *world.holder());
+  world.Pass(millis(500));
+  CHECK(world.Task().vm == newer.id);
+  CHECK(world.Task().attempt == 2);
+  // The replaced incarnation is told to stop what it still reports.
+  CHECK(world.Beat(world.vm, *world.holder()).unknown.size() == 1);
+}
+
+// Guards against a VM that was declared gone and comes back to life.
+TEST_CASE("worker gone ends the attempts and refuses the incarnation") {
+  running_world world;
+  Send(world, WorkerGone("ann", "v1", 7, "r1"));
+  world.Pass(millis(500));
+  CHECK(world.Task().phase == task_phase::kPending);
+  CHECK(world.Beat(world.vm, *world.holder()).unknown.size() == 1);
+  world.BeatFor(millis(2'000));
+  CHECK(world.holder()->committed().vms().empty());
+  CHECK(world.holder()->committed().commands().at("gone-r1").accepted);
+  CHECK(world.store.Scan(kCommandPrefix, 10).empty());
+}
+
+// Guards against a command that is carried out twice when its row comes back
+// after it was absorbed, and against an operator who is told nothing.
+TEST_CASE("a command is executed once and its outcome kept") {
+  running_world world;
+  state::job_spec job;
+  job.name = "c";
+  job.per_task = {100, 100, 0};
+  for (int copy = 0; copy < 2; ++copy) {
+    Send(world, SubmitJob("ann", job));
+    Send(world, CancelJob("ann", "nothing"));
+    Send(world, DrainWorker("ann", "v9", true, "r" + std::to_string(copy)));
+    world.Pass(millis(500));
+  }
+  const auto& commands = world.holder()->committed().commands();
+  CHECK(commands.at(SubmitJob("ann", job).id).accepted);
+  CHECK(commands.at("cancel-nothing").detail == "there is no job nothing");
+  CHECK(world.holder()->committed().drained().contains("v9"));
+  CHECK(world.store.Scan(kCommandPrefix, 10).empty());
+  job.tasks = 3;
+  Send(world, SubmitJob("bob", job));
+  world.Pass(millis(500));
+  CHECK_FALSE(commands.at(SubmitJob("bob", job).id).accepted);
+}
+
+// Guards against a task that waits for ever on a start that was lost, and one
+// that runs although the state does not hold it.
+TEST_CASE("a start that a VM never shows is granted again") {
+  running_world world;
+  world.Declare("b");
+  world.Pass(millis(200));
+  const auto lost = world.holder()->OnHeartbeat(world.Message(world.vm));
+  REQUIRE(lost.starts.size() == 1);
+  const auto first = lost.starts[0].attempt;
+  for (int i = 0; i < 12; ++i) {
+    world.Pass(millis(500));
+    const auto message = world.Message(world.vm);
+    auto answer = world.holder()->OnHeartbeat(message);
+    std::erase_if(answer.starts, [&](const state::start_order& order) {
+      return order.attempt == first;
+    });
+    world.Obey(world.vm, message, answer);
+  }
+  CHECK(world.vm.running.contains({{"b", 0}, 2}));
+  CHECK_FALSE(world.vm.running.contains(first));
+  world.vm.running.insert(first);
+  CHECK(world.Beat(world.vm, *world.holder()).unknown == std::vector{first});
+}
+
+// Guards against a journal that grows without limit.
+TEST_CASE("records before the snapshot are deleted") {
+  running_world world;
+  for (int second = 0; second < 90; ++second) {
+    Send(world, DrainWorker("ann", "v9", true, std::to_string(second)));
+    world.BeatFor(millis(1'000));
+  }
+  // Each append deletes a few, so the newest snapshot's share takes some time.
+  world.BeatFor(millis(10'000));
+  const auto head = ReadHead(world.store.Read(kHeadKey)->value);
+  REQUIRE(head);
+  CHECK(head->snapshot > 0);
+  CHECK(head->oldest == head->snapshot + 1);
+  CHECK(world.store.Scan("journal/0", 10'000).size() ==
+        head->sequence - head->snapshot);
+}
+
+// Guards against an entry with an older manifest that takes over and undoes
+// the newer one.
+TEST_CASE("services follow the manifest and never an older one") {
+  running_world world;
+  config::service_spec service;
+  service.name = "s";
+  service.per_replica = {100, 100, 0};
+  service.replicas = 3;
+  world.manifest.services = {service};
+  world.Declare("b");
+  world.BeatFor(millis(2'000));
+  const auto old = world.manifest;
+  const auto* job = world.holder()->committed().FindJob("service:s");
+  REQUIRE(job);
+  CHECK(world.vm.running.size() == 5);
+  world.manifest.services[0].replicas = 1;
+  world.Declare("c");
+  world.BeatFor(millis(3'000));
+  CHECK(world.holder()->committed().FindJob("service:s")->spec.tasks == 1);
+  CHECK(world.vm.running.size() == 4);
+  world.Kill("e1");
+  const auto newest = world.manifest_version;
+  world.manifest_version = 0;
+  auto& successor = world.AddEntry("e2");
+  successor.SetManifest(newest - 1, old);
+  REQUIRE(world.PassUntilHeld());
+  world.BeatFor(millis(2'000));
+  CHECK(successor.committed().FindJob("service:s")->spec.tasks == 1);
+  world.manifest.services.clear();
+  successor.SetManifest(newest + 1, world.manifest);
+  world.BeatFor(millis(3'000));
+  CHECK(successor.committed().FindJob("service:s")->spec.tasks == 0);
+}
+
+// Guards against a program of an older version that overwrites a journal it
+// cannot read.
+TEST_CASE("a journal of a newer format is left alone") {
+  authority_world world;
+  REQUIRE(world.store.Commit({{}, {{kHeadKey, R"({"format":2})"}}}).version);
+  world.AddEntry("e1");
+  CHECK_FALSE(world.PassUntilHeld());
+  CHECK(world.store.Read(kHeadKey)->value == R"({"format":2})");
+}
+
+}  // namespace chiveglade::authority
--- a/tests/authority/scheduler_test.cc
+++ b/tests/authority/scheduler_test.cc
@@ -7,45 +7,10 @@
 namespace {
 
 using testing::authority_world;
+using testing::running_world;
 using testing::store_fault;
 using testing::test_vm;
 
-const state::task_id kTask{"a", 0};
-
-// One entry that holds the role, a VM that has joined and runs task a/0.
-struct running_world : authority_world {
-  running_world() {
-    AddEntry("e1");
-    REQUIRE(PassUntilHeld());
-    Join(vm);
-    Declare("a");
-    BeatFor(millis(1'000));
-    REQUIRE(vm.running.size() == 1);
-  }
-  void Join(test_vm& at) {
-    Beat(at, *holder());
-    Pass(millis(200));
-  }
-  // Heartbeats each second to the holder, starting now.
-  void BeatFor(millis time) {
-    for (const boot_time end = now + time; now < end;) {
-      Pass(millis(500));
-      if (holder()) {
-        Beat(vm, *holder());
-      }
-      Pass(millis(500));
-    }
-    if (holder()) {
-      Beat(vm, *holder());
-    }
-  }
-  state::task_phase Phase() {
-    return holder()->committed().FindTask(kTask)->phase;
-  }
-
-  test_vm vm{.id = {"v1", 7}};
-};
-
 }  // namespace
 
 // Guards against orders that leave before their record is durable.
@@ -75,15 +40,14 @@
 // acknowledged before it is durable.
 TEST_CASE("running and ended attempts are recorded and acknowledged") {
   running_world world;
-  world.BeatFor(millis(1'000));
-  CHECK(world.Phase() == state::task_phase::kRunning);
+  CHECK(world.Task().phase == state::task_phase::kRunning);
   const auto attempt = *world.vm.running.begin();
   world.vm.running.clear();
   world.vm.ends[attempt] = {attempt, state::attempt_end::kFinished, "", {}, ""};
   CHECK(world.Beat(world.vm, *world.holder()).acknowledged.empty());
   world.Pass(millis(200));
   CHECK(world.Beat(world.vm, *world.holder()).acknowledged.size() == 1);
-  CHECK(world.Phase() == state::task_phase::kFinished);
+  CHECK(world.Task().phase == state::task_phase::kFinished);
 }
 
 // Guards against work lost or run twice when all entries are replaced.
@@ -99,7 +63,7 @@
   CHECK(world.holder()->committed() == before);
   CHECK(world.holder()->epoch() == epoch + 1);
   world.BeatFor(millis(10'000));
-  CHECK(world.Phase() == state::task_phase::kRunning);
+  CHECK(world.Task().phase == state::task_phase::kRunning);
   CHECK(world.vm.running.size() == 1);
 }
 
