--- a/tests/agent/agent_world.h
+++ b/tests/agent/agent_world.h
@@ -32,6 +32,8 @@
   explicit agent_world(uint64_t seed);
 
   void Pass(millis time);
+  // Passes time, ticks the agent and delivers most of what is in flight.
+  void Round(millis time);
   void TickAgent();
   void SendHeartbeat();
   void DeliverCall();    // one call in flight reaches the worker or is lost
@@ -66,6 +68,7 @@
   uint64_t Draw(uint64_t below) { return random_() % below; }
   void Execute(call_in_flight& what, bool lose_answer);
   void TakeHeartbeat(const state::heartbeat& beat);
+  void ConcludeNotRun(const state::heartbeat& beat);
   void TakeEnd(const state::attempt_ended& end);
   void TakeIncarnation(uint64_t incarnation);
   void CheckRunning();
