--- a/src/app/heartbeat_service.cc
+++ b/src/app/heartbeat_service.cc
@@ -4,12 +4,12 @@
 
 #include "chiveglade/authority/rows.h"
 #include "chiveglade/state/heartbeat_codec.h"
+#include "manifest_fetch.h"
 
 namespace chiveglade::app {
 
 namespace {
 
-constexpr millis kFetchTimeout{3'000};
 constexpr char kCbor[] = "application/cbor";
 
 }  // namespace
@@ -42,19 +42,6 @@
   }
 }
 
-void Reply(net::h2_stream& stream,
-           int status,
-           const net::header_list& headers,
-           const std::string& body,
-           net::yield yield) {
-  net::header_list fields = {{":status", std::to_string(status)}};
-  fields.insert(fields.end(), headers.begin(), headers.end());
-  if (stream.WriteHeaders(fields, body.empty(), yield) && !body.empty()) {
-    // A peer that has gone needs no answer.
-    (void)stream.Write(body, true, yield);
-  }
-}
-
 heartbeat_service::heartbeat_service(entry_context& context,
                                      question_fn answer_question)
     : context_(context), answer_question_(std::move(answer_question)) {}
@@ -65,7 +52,10 @@
   if (path == kHeartbeatPath) {
     HandleHeartbeat(stream, yield);
   } else if (path == kManifestPath) {
-    HandleManifest(stream, yield);
+    const auto view = context_.reader->view();
+    ServeManifest(
+        {view->published.version, view->manifest_text, view->manifest}, *stream,
+        yield);
   } else if (path.rfind(kSchedulerPrefix, 0) == 0) {
     const auto reply =
         answer_question_(path.substr(sizeof(kSchedulerPrefix) - 1), yield);
@@ -115,42 +105,20 @@
   }
 }
 
-void heartbeat_service::HandleManifest(const net::h2_stream_ptr& stream,
-                                       net::yield yield) {
-  const auto view = context_.reader->view();
-  if (!view->manifest_text) {
-    Reply(*stream, 404, {}, "", yield);
-    return;
-  }
-  Reply(*stream, 200,
-        {{kManifestVersionHeader, std::to_string(view->published.version)}},
-        *view->manifest_text, yield);
-}
-
 void heartbeat_service::AdoptNewer(const state::heartbeat& message,
                                    net::yield yield) {
   const auto client = context_.peer(message.address);
   if (!client) {
     return;
   }
-  const auto reply = net::Exchange(
-      *client,
-      {{":method", "GET"}, {":scheme", "http"}, {":path", kManifestPath}}, "",
-      config::kMaxManifestBytes, kFetchTimeout, yield);
-  if (!reply || reply->status != 200) {
-    return;
-  }
-  const std::string version(
-      net::FindHeader(reply->headers, kManifestVersionHeader));
-  if (version.empty() ||
-      version.find_first_not_of("0123456789") != std::string::npos ||
-      version.size() > 18) {
+  const auto held = FetchManifest(*client, yield);
+  if (!held) {
     return;
   }
   RunOn<bool>(
       context_.control,
-      [this, &reply, &version] {
-        return context_.reader->AdoptFromPeer(std::stoull(version), reply->body)
+      [this, &held] {
+        return context_.reader->AdoptFromPeer(held->version, *held->text)
             .has_value();
       },
       yield);
--- a/src/app/heartbeat_service.h
+++ b/src/app/heartbeat_service.h
@@ -13,11 +13,8 @@
 
 // Paths served on the peer address.
 constexpr char kHeartbeatPath[] = "/heartbeat";
-constexpr char kManifestPath[] = "/manifest";
 // Operators' questions that only the scheduler can answer.
 constexpr char kSchedulerPrefix[] = "/scheduler";
-// Answer header of kManifestPath.
-constexpr char kManifestVersionHeader[] = "chiveglade-manifest-version";
 
 // Thread-safe. `answer_question` answers a path below kSchedulerPrefix.
 class heartbeat_service {
@@ -32,7 +29,6 @@
 
  private:
   void HandleHeartbeat(const net::h2_stream_ptr& stream, net::yield yield);
-  void HandleManifest(const net::h2_stream_ptr& stream, net::yield yield);
   void FillIn(const state::heartbeat& message,
               state::heartbeat_answer& answer) const;
   // Fetches the manifest from an agent that has a newer one, for the time when
@@ -51,13 +47,6 @@
                              size_t max_bytes,
                              net::yield yield);
 
-// Sends a whole answer.
-void Reply(net::h2_stream& stream,
-           int status,
-           const net::header_list& headers,
-           const std::string& body,
-           net::yield yield);
-
 }  // namespace chiveglade::app
 
 #endif  // CHIVEGLADE_APP_HEARTBEAT_SERVICE_H_
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -93,18 +93,20 @@
        {},
        "Version of the manifest in effect here. Alert if two processes differ "
        "for more than 9 s."},
-      {"chiveglade_agent_tasks",
+      {"chiveglade_agent_used_millicores",
+       kind::kGauge,
+       {},
+       "Processors held by attempts on this VM, in thousandths."},
+      {"chiveglade_agent_heartbeats",
        kind::kGauge,
-       {"phase"},
-       "Attempts on this VM by phase, at the agent."},
-      {"chiveglade_agent_heartbeats_total",
-       kind::kCounter,
        {"outcome"},
-       "Heartbeats sent by this agent."},
+       "Heartbeats of this agent since it started. Alert if failed rises for "
+       "every entry: the VM is cut off."},
       {"chiveglade_agent_queue",
        kind::kGauge,
-       {"class"},
-       "Requests waiting at this agent."},
+       {"service"},
+       "Requests waiting at this agent. Above 0 for long: the service is short "
+       "of replicas."},
   };
   return catalogue;
 }
