--- a/src/agent/agent_core_worker.cc
+++ b/src/agent/agent_core_worker.cc
@@ -187,8 +187,10 @@
       record.order = call.order;
       return;
     case worker_call_status::kRefused:
-      // A worker that has the attempt already refuses it too.
-      if (outcome.why.code != "exists") {
+      if (outcome.why.code == "ran_before") {
+        End(record, state::attempt_end::kLost,
+            "the worker has run it and forgotten it");
+      } else if (outcome.why.code != "exists") {
         End(record, state::attempt_end::kNotRun,
             "the worker refused the start: " + outcome.why.detail);
       }
