--- a/include/chiveglade/routing/agent_proxy.h
+++ b/include/chiveglade/routing/agent_proxy.h
@@ -67,7 +67,8 @@
 
   // Handles one request stream of an entry. Says `chiveglade-verdict: not_run`
   // only if no byte of the request was sent to the worker.
-  virtual void Handle(const net::h2_stream_ptr& stream, net::yield yield) = 0;
+  virtual void Handle(const net::h2_stream_ptr& stream,
+                      const net::yield& yield) = 0;
 
   // Handle as the handler of an h2_server.
   virtual net::h2_handler Handler() = 0;
--- a/src/routing/agent_proxy.cc
+++ b/src/routing/agent_proxy.cc
@@ -66,12 +66,13 @@
 
   net::h2_handler Handler() override {
     return [self = shared_from_this()](const net::h2_stream_ptr& stream,
-                                       net::yield yield) {
+                                       const net::yield& yield) {
       self->Handle(stream, yield);
     };
   }
 
-  void Handle(const net::h2_stream_ptr& stream, net::yield yield) override {
+  void Handle(const net::h2_stream_ptr& stream,
+              const net::yield& yield) override {
     ++active_;
     const boot_time arrived = hooks_.clock();
     proxy_record record;
@@ -114,7 +115,7 @@
   void Serve(const net::h2_stream_ptr& stream,
              boot_time arrived,
              proxy_record& record,
-             net::yield yield) {
+             const net::yield& yield) {
     const auto& fields = stream->request_headers();
     const auto target = net::FindHeader(fields, ":path");
     if (leaving_) {
@@ -157,7 +158,7 @@
                class_queue::ticket ticket,
                boot_time deadline,
                proxy_record& record,
-               net::yield yield) {
+               const net::yield& yield) {
     const auto started = std::chrono::steady_clock::now();
     worker_exchange::report ended;
     {
@@ -167,7 +168,7 @@
           options_, hooks_.clock, *service.pool, stream, deadline,
           {[queue] { return WriteLoadHeader(LoadOf("", queue->load())); },
            [queue, ticket] { queue->ReleaseSlot(ticket); },
-           [&](const worker_exchange::report& why, net::yield inner) {
+           [&](const worker_exchange::report& why, const net::yield& inner) {
              Answer(stream, why.ran, {why.code, why.detail}, service, inner);
            }});
       ended = exchange.Run(yield);
@@ -183,7 +184,7 @@
   void Refuse(const net::h2_stream_ptr& stream,
               proxy_record& record,
               const reason& why,
-              net::yield yield) {
+              const net::yield& yield) {
     record.ran = verdict::kNotRun;
     record.code = why.code;
     Answer(stream, verdict::kNotRun, why, Find(record.service), yield);
@@ -194,7 +195,7 @@
                      verdict ran,
                      const reason& why,
                      const served& service,
-                     net::yield yield) {
+                     const net::yield& yield) {
     const auto id =
         net::FindHeader(stream->request_headers(), kRequestIdHeader);
     net::header_list fields = {
--- a/src/routing/agent_try.cc
+++ b/src/routing/agent_try.cc
@@ -32,12 +32,12 @@
   body_upload(agent_try& of, net::h2_stream_ptr stream)
       : of_(of), stream_(std::move(stream)) {}
 
-  void Start(net::yield yield) {
-    task_.Start(yield, [this](net::yield inner) { Run(inner); });
+  void Start(const net::yield& yield) {
+    task_.Start(yield, [this](const net::yield& inner) { Run(inner); });
   }
 
   // Stops the upload if the answer did not wait for its end.
-  void Stop(net::yield yield) {
+  void Stop(const net::yield& yield) {
     if (task_.running()) {
       stream_->Reset(net::h2_error::kCancel);
       if (of_.request_.body_consumed) {
@@ -51,7 +51,7 @@
   const reason& failure() const { return failure_; }
 
  private:
-  void Run(net::yield yield) {
+  void Run(const net::yield& yield) {
     const auto& start = of_.request_.body;
     if (!stream_->Write(start, of_.request_.body_whole, yield) ||
         of_.request_.body_whole) {
@@ -84,7 +84,9 @@
   return std::max(request_.deadline - clock_(), millis(0));
 }
 
-try_report agent_try::Run(net::h2_client& agent, target& at, net::yield yield) {
+try_report agent_try::Run(net::h2_client& agent,
+                          target& at,
+                          const net::yield& yield) {
   auto fields = request_.fields;
   fields.emplace_back(kDeadlineHeader, std::to_string(TimeLeft().count()));
   const bool no_body = request_.body_whole && request_.body.empty();
@@ -119,7 +121,7 @@
 try_report agent_try::Exchange(net::h2_stream& stream,
                                stream_deadline& deadline,
                                target& at,
-                               net::yield yield) {
+                               const net::yield& yield) {
   auto head = stream.ReadHeaders(yield);
   if (!head) {
     return Lost(stream, deadline, head.last_reason().detail);
@@ -173,7 +175,7 @@
 try_report agent_try::PassOn(net::h2_stream& stream,
                              stream_deadline& deadline,
                              net::header_list head,
-                             net::yield yield) {
+                             const net::yield& yield) {
   try_report out;
   const auto status = NumberHeader(net::FindHeader(head, ":status"));
   if (!status || *status < 200 || *status > 599) {
@@ -215,7 +217,7 @@
                            stream_deadline& deadline,
                            std::optional<uint64_t> length,
                            try_report& report,
-                           net::yield yield) {
+                           const net::yield& yield) {
   const bool expected = HasAnswerBody(caller_.method(), report.status);
   std::vector<char> buffer(kReadBytes);
   uint64_t total = 0;
--- a/src/routing/agent_try.h
+++ b/src/routing/agent_try.h
@@ -46,7 +46,7 @@
             caller_exchange& caller)
       : options_(options), clock_(clock), request_(request), caller_(caller) {}
 
-  try_report Run(net::h2_client& agent, target& at, net::yield yield);
+  try_report Run(net::h2_client& agent, target& at, const net::yield& yield);
 
  private:
   class body_upload;
@@ -54,7 +54,7 @@
   try_report Exchange(net::h2_stream& stream,
                       class stream_deadline& deadline,
                       target& at,
-                      net::yield yield);
+                      const net::yield& yield);
   try_report Lost(net::h2_stream& stream,
                   const class stream_deadline& deadline,
                   const std::string& detail) const;
@@ -62,12 +62,12 @@
   try_report PassOn(net::h2_stream& stream,
                     class stream_deadline& deadline,
                     net::header_list head,
-                    net::yield yield);
+                    const net::yield& yield);
   bool PassOnBody(net::h2_stream& stream,
                   class stream_deadline& deadline,
                   std::optional<uint64_t> length,
                   try_report& report,
-                  net::yield yield);
+                  const net::yield& yield);
   millis TimeLeft() const;
 
   const front_options& options_;
--- a/src/routing/caller_connection.cc
+++ b/src/routing/caller_connection.cc
@@ -37,7 +37,8 @@
 void caller_connection::Start(std::function<void()> ended) {
   net::asio::spawn(
       stream_.get_executor(),
-      [self = shared_from_this(), ended = std::move(ended)](net::yield yield) {
+      [self = shared_from_this(),
+       ended = std::move(ended)](const net::yield& yield) {
         self->Run(yield);
         self->drain_timer_.cancel();
         ended();
@@ -45,7 +46,7 @@
       net::asio::detached);
 }
 
-void caller_connection::Run(net::yield yield) {
+void caller_connection::Run(const net::yield& yield) {
   while (!stopped_ && ServeOne(yield)) {
     if (buffer_.size() == 0 && buffer_.capacity() > kMaxIdleBuffer) {
       buffer_.shrink_to_fit();
@@ -56,7 +57,7 @@
   }
 }
 
-bool caller_connection::ServeOne(net::yield yield) {
+bool caller_connection::ServeOne(const net::yield& yield) {
   caller_exchange exchange(stream_, buffer_, front_->options(),
                            front_->draining);
   idle_ = buffer_.size() == 0;
@@ -76,7 +77,7 @@
   return exchange.CanContinue();
 }
 
-void caller_connection::CloseGently(net::yield yield) {
+void caller_connection::CloseGently(const net::yield& yield) {
   error_code error;
   stream_.socket().shutdown(net::asio::ip::tcp::socket::shutdown_send, error);
   std::array<char, 4'096> discarded;
--- a/src/routing/caller_connection.h
+++ b/src/routing/caller_connection.h
@@ -29,12 +29,12 @@
   void Stop();
 
  private:
-  void Run(net::yield yield);
+  void Run(const net::yield& yield);
   // Whether another request may follow.
-  bool ServeOne(net::yield yield);
+  bool ServeOne(const net::yield& yield);
   // Reads what the caller is still sending, so that closing does not discard
   // the answer at its side.
-  void CloseGently(net::yield yield);
+  void CloseGently(const net::yield& yield);
 
   const std::shared_ptr<front_state> front_;
   boost::beast::tcp_stream stream_;
--- a/src/routing/caller_exchange.cc
+++ b/src/routing/caller_exchange.cc
@@ -40,7 +40,7 @@
   parser_->body_limit(options_.max_body_bytes);
 }
 
-caller_exchange::arrival caller_exchange::ReadHeader(net::yield yield) {
+caller_exchange::arrival caller_exchange::ReadHeader(const net::yield& yield) {
   error_code error;
   stream_.expires_after(draining_ ? options_.drain_idle
                                   : options_.idle_timeout);
@@ -88,7 +88,7 @@
           !beast::iequals(fields[http::field::transfer_encoding], "chunked"));
 }
 
-bool caller_exchange::SendContinue(net::yield yield) {
+bool caller_exchange::SendContinue(const net::yield& yield) {
   if (continue_sent_ ||
       !beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
     return true;
@@ -101,9 +101,22 @@
   return !error;
 }
 
+std::shared_ptr<caller_exchange::read_limit> caller_exchange::StartReadLimit() {
+  auto out = std::make_shared<read_limit>(stream_);
+  out->timer.expires_after(options_.stall_timeout);
+  out->timer.async_wait([out, &stream = stream_](error_code error) {
+    // The limit is cancelled before the stream can go away.
+    if (!error && !out->passed) {
+      out->passed = true;
+      stream.cancel();
+    }
+  });
+  return out;
+}
+
 result<size_t> caller_exchange::ReadBody(char* into,
                                          size_t size,
-                                         net::yield yield) {
+                                         const net::yield& yield) {
   const reason gone{"caller_gone", "the connection of the caller was lost"};
   if (!parser_->is_done() && !SendContinue(yield)) {
     return gone;
@@ -113,8 +126,11 @@
   body.size = size;
   while (body.size == size && !parser_->is_done()) {
     error_code error;
-    stream_.expires_after(options_.stall_timeout);
+    stream_.expires_never();
+    const auto limit = StartReadLimit();
     http::async_read_some(stream_, buffer_, *parser_, yield[error]);
+    const bool late = std::exchange(limit->passed, true);
+    limit->timer.cancel();
     if (!error || error == http::error::need_buffer) {
       continue;
     }
@@ -122,7 +138,7 @@
     if (error == http::error::body_limit) {
       return reason{"body_too_large", "the body is above the limit"};
     }
-    if (error == beast::error::timeout) {
+    if (late) {
       return reason{"body_timeout", "the body did not arrive in time"};
     }
     if (error != http::error::partial_message &&
@@ -164,7 +180,7 @@
 bool caller_exchange::Send(std::string_view prefix,
                            std::string_view bytes,
                            std::string_view suffix,
-                           net::yield yield) {
+                           const net::yield& yield) {
   const std::string head = std::exchange(head_, {});
   answer_sent_ = true;
   const std::array<asio::const_buffer, 4> parts = {
@@ -177,7 +193,8 @@
   return !error;
 }
 
-bool caller_exchange::WriteBody(std::string_view bytes, net::yield yield) {
+bool caller_exchange::WriteBody(std::string_view bytes,
+                                const net::yield& yield) {
   if (!chunked_) {
     return Send({}, bytes, {}, yield);
   }
@@ -185,16 +202,16 @@
          Send(HexSize(bytes.size()) + "\r\n", bytes, "\r\n", yield);
 }
 
-bool caller_exchange::EndAnswer(net::yield yield) {
+bool caller_exchange::EndAnswer(const net::yield& yield) {
   const std::string_view last = chunked_ ? "0\r\n\r\n" : "";
   answer_ended_ = (head_.empty() && last.empty()) || Send({}, last, {}, yield);
   return answer_ended_;
 }
 
 bool caller_exchange::WriteAnswer(int status,
-                                  net::header_list fields,
+                                  const net::header_list& fields,
                                   std::string_view body,
-                                  net::yield yield) {
+                                  const net::yield& yield) {
   StartAnswer(status, fields, body.size());
   const bool with_body = HasAnswerBody(method(), status);
   answer_ended_ = WriteBody(with_body ? body : std::string_view(), yield);
--- a/src/routing/caller_exchange.h
+++ b/src/routing/caller_exchange.h
@@ -3,11 +3,13 @@
 #define CHIVEGLADE_SRC_ROUTING_CALLER_EXCHANGE_H_
 
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,7 +31,7 @@
                   const front_options& options,
                   const std::atomic<bool>& draining);
 
-  arrival ReadHeader(net::yield yield);
+  arrival ReadHeader(const net::yield& yield);
 
   // Valid after ReadHeader returned kRequest.
   std::string_view method() const;
@@ -46,7 +48,7 @@
 
   // Reads at most `size` bytes of the body; 0 is its end. Fails with
   // "body_too_large", "body_timeout", "bad_body" or "caller_gone".
-  result<size_t> ReadBody(char* into, size_t size, net::yield yield);
+  result<size_t> ReadBody(char* into, size_t size, const net::yield& yield);
 
   // Ends a pending ReadBody; the connection is closed after this exchange.
   void CancelRead();
@@ -58,13 +60,13 @@
                    std::optional<uint64_t> length);
   // Sends a part of the body; false if the caller is gone or reads nothing for
   // too long.
-  bool WriteBody(std::string_view bytes, net::yield yield);
-  bool EndAnswer(net::yield yield);
+  bool WriteBody(std::string_view bytes, const net::yield& yield);
+  bool EndAnswer(const net::yield& yield);
   // Answers with a whole body.
   bool WriteAnswer(int status,
-                   net::header_list fields,
+                   const net::header_list& fields,
                    std::string_view body,
-                   net::yield yield);
+                   const net::yield& yield);
 
   // Makes the connection fail at the caller, so that an incomplete answer
   // cannot be taken for a whole one.
@@ -78,11 +80,21 @@
   bool CanContinue() const;
 
  private:
-  bool SendContinue(net::yield yield);
+  // Cancels a read that takes too long. The timer of the stream would close the
+  // connection, and the caller could not be told.
+  struct read_limit {
+    explicit read_limit(boost::beast::tcp_stream& stream)
+        : timer(stream.get_executor()) {}
+    boost::asio::steady_timer timer;
+    bool passed = false;
+  };
+  std::shared_ptr<read_limit> StartReadLimit();
+
+  bool SendContinue(const net::yield& yield);
   bool Send(std::string_view prefix,
             std::string_view bytes,
             std::string_view suffix,
-            net::yield yield);
+            const net::yield& yield);
 
   boost::beast::tcp_stream& stream_;
   boost::beast::flat_buffer& buffer_;
--- a/src/routing/forwarder.cc
+++ b/src/routing/forwarder.cc
@@ -61,7 +61,7 @@
   front_.ReleaseBody(reserved_);
 }
 
-void forwarder::RunMalformed(bool header_too_large, net::yield yield) {
+void forwarder::RunMalformed(bool header_too_large, const net::yield& yield) {
   request_.id = MakeId(front_);
   caller_.CloseAfter();
   if (header_too_large) {
@@ -74,7 +74,7 @@
   }
 }
 
-void forwarder::Run(net::yield yield) {
+void forwarder::Run(const net::yield& yield) {
   auto why = Check();
   if (!why) {
     why = ReadStart(yield);
@@ -148,7 +148,7 @@
   return {status, verdict::kNotRun, why.code, why.detail};
 }
 
-forwarder::refused forwarder::ReadStart(net::yield yield) {
+forwarder::refused forwarder::ReadStart(const net::yield& yield) {
   const auto& options = front_.options();
   if (key_.empty()) {
     return ReadUpTo(options.replay_bytes, yield);
@@ -172,7 +172,7 @@
   return request_.body_whole ? std::nullopt : refused(too_large);
 }
 
-forwarder::refused forwarder::ReadUpTo(size_t limit, net::yield yield) {
+forwarder::refused forwarder::ReadUpTo(size_t limit, const net::yield& yield) {
   constexpr size_t kStep = 16'384;
   auto& body = request_.body;
   while (body.size() < limit && !caller_.body_done()) {
@@ -190,7 +190,7 @@
   return std::nullopt;
 }
 
-forwarder::refused forwarder::TakeClaim(net::yield yield) {
+forwarder::refused forwarder::TakeClaim(const net::yield& yield) {
   const auto& claims = front_.hooks().claims;
   if (!claims) {
     return refusal{503, verdict::kNotRun, "store_unavailable",
@@ -206,7 +206,8 @@
   return OnClaim(std::move(reply), yield);
 }
 
-forwarder::refused forwarder::OnClaim(claim_reply reply, net::yield yield) {
+forwarder::refused forwarder::OnClaim(claim_reply reply,
+                                      const net::yield& yield) {
   switch (reply.status) {
     case claim_status::kClaimed:
       claim_ = std::move(reply.held);
@@ -218,8 +219,8 @@
       if (!reply.answer.whole) {
         fields.emplace_back("chiveglade-answer", "status_only");
       }
-      caller_.WriteAnswer(reply.answer.status, std::move(fields),
-                          reply.answer.body, yield);
+      caller_.WriteAnswer(reply.answer.status, fields, reply.answer.body,
+                          yield);
       Record(verdict::kRan, reply.answer.status, "repeated");
       return refusal{};
     }
@@ -259,7 +260,7 @@
   out.emplace_back(kRequestIdHeader, request_.id);
 }
 
-void forwarder::Forward(net::yield yield) {
+void forwarder::Forward(const net::yield& yield) {
   MakeFields();
   if (front_.hooks().clock() >= request_.deadline) {
     EndClaim({}, verdict::kNotRun);
@@ -278,7 +279,7 @@
          yield);
 }
 
-std::optional<try_report> forwarder::TryTargets(net::yield yield) {
+std::optional<try_report> forwarder::TryTargets(const net::yield& yield) {
   const auto& hooks = front_.hooks();
   std::vector<std::string> tried;
   std::optional<try_report> last;
@@ -329,7 +330,7 @@
   claim_.reset();
 }
 
-void forwarder::Finish(const try_report& last, net::yield yield) {
+void forwarder::Finish(const try_report& last, const net::yield& yield) {
   EndClaim(last, ran_);
   if (last.end == try_end::kAnswered) {
     Record(verdict::kRan, last.status, "");
@@ -358,7 +359,7 @@
   return out;
 }
 
-void forwarder::Refuse(const refusal& why, net::yield yield) {
+void forwarder::Refuse(const refusal& why, const net::yield& yield) {
   net::header_list fields = {
       {"content-type", "application/json"},
       {std::string(kVerdictHeader), std::string(ToString(why.ran))},
@@ -366,7 +367,7 @@
   if (why.retry_after_s > 0) {
     fields.emplace_back("retry-after", std::to_string(why.retry_after_s));
   }
-  caller_.WriteAnswer(why.status, std::move(fields),
+  caller_.WriteAnswer(why.status, fields,
                       RefusalBody(why.ran, why.code, why.detail, request_.id),
                       yield);
   Record(why.ran, why.status, why.code);
--- a/src/routing/forwarder.h
+++ b/src/routing/forwarder.h
@@ -21,10 +21,10 @@
   forwarder& operator=(const forwarder&) = delete;
 
   // The caller has been answered or aborted when this returns.
-  void Run(net::yield yield);
+  void Run(const net::yield& yield);
 
   // Answers a request that could not be read.
-  void RunMalformed(bool header_too_large, net::yield yield);
+  void RunMalformed(bool header_too_large, const net::yield& yield);
 
  private:
   // A refusal, or where the caller is told what became of the request.
@@ -39,19 +39,19 @@
 
   refused Check();
   refused CheckKey();
-  refused ReadStart(net::yield yield);
-  refused ReadUpTo(size_t limit, net::yield yield);
-  refused TakeClaim(net::yield yield);
-  refused OnClaim(claim_reply reply, net::yield yield);
+  refused ReadStart(const net::yield& yield);
+  refused ReadUpTo(size_t limit, const net::yield& yield);
+  refused TakeClaim(const net::yield& yield);
+  refused OnClaim(claim_reply reply, const net::yield& yield);
   void MakeFields();
-  void Forward(net::yield yield);
+  void Forward(const net::yield& yield);
   // The report of the last try; none if no target could be tried.
-  std::optional<try_report> TryTargets(net::yield yield);
+  std::optional<try_report> TryTargets(const net::yield& yield);
   bool MayTryAgain(const outcome& judged);
-  void Finish(const try_report& last, net::yield yield);
+  void Finish(const try_report& last, const net::yield& yield);
   void EndClaim(const try_report& last, verdict ran);
   refusal RefusalOf(const try_report& last) const;
-  void Refuse(const refusal& why, net::yield yield);
+  void Refuse(const refusal& why, const net::yield& yield);
   void Record(verdict ran, int status, const std::string& code);
   refusal BodyRefusal(const reason& why) const;
 
--- a/src/routing/side_task.h
+++ b/src/routing/side_task.h
@@ -17,11 +17,12 @@
 class side_task {
  public:
   template <typename Body>
-  void Start(net::yield yield, Body body) {
+  void Start(const net::yield& yield, Body body) {
     state_ = std::make_shared<state>(yield);
     net::asio::spawn(
         yield.get_executor(),
-        [kept = state_, run = std::move(body)](net::yield inner) mutable {
+        [kept = state_,
+         run = std::move(body)](const net::yield& inner) mutable {
           run(inner);
           kept->done = true;
           kept->finished.cancel();
@@ -32,7 +33,7 @@
   bool running() const { return state_ && !state_->done; }
 
   // Waits until the task has returned.
-  void Join(net::yield yield) {
+  void Join(const net::yield& yield) {
     while (running()) {
       boost::system::error_code ignored;
       state_->finished.async_wait(yield[ignored]);
--- a/src/routing/stream_deadline.h
+++ b/src/routing/stream_deadline.h
@@ -15,7 +15,7 @@
 // the time is over.
 class stream_deadline {
  public:
-  stream_deadline(net::h2_stream_ptr stream, net::yield yield)
+  stream_deadline(net::h2_stream_ptr stream, const net::yield& yield)
       : state_(std::make_shared<state>(std::move(stream), yield)) {}
   ~stream_deadline() {
     state_->stopped = true;
--- a/src/routing/worker_exchange.cc
+++ b/src/routing/worker_exchange.cc
@@ -49,7 +49,7 @@
   return std::max(deadline_ - clock_(), millis(1));
 }
 
-worker_exchange::report worker_exchange::Run(net::yield yield) {
+worker_exchange::report worker_exchange::Run(const net::yield& yield) {
   if (!ReadFirstPart(yield)) {
     return {verdict::kNotRun, "cancelled", "the entry gave the request up",
             true};
@@ -74,7 +74,7 @@
   return out;
 }
 
-bool worker_exchange::ReadFirstPart(net::yield yield) {
+bool worker_exchange::ReadFirstPart(const net::yield& yield) {
   const auto length =
       net::FindHeader(entry_->request_headers(), "content-length");
   part_.resize(kPartBytes);
@@ -117,7 +117,7 @@
   return out + "\r\n";
 }
 
-size_t worker_exchange::SendStart(net::yield yield, error_code& error) {
+size_t worker_exchange::SendStart(const net::yield& yield, error_code& error) {
   const std::string head = RequestHead();
   const std::string_view part(part_.data(), part_.size());
   const bool as_chunk = chunked_ && !part.empty();
@@ -130,7 +130,7 @@
   return asio::async_write(*worker_, parts, yield[error]);
 }
 
-worker_exchange::report worker_exchange::Send(net::yield yield) {
+worker_exchange::report worker_exchange::Send(const net::yield& yield) {
   worker_ = pool_.TakeIdle(yield);
   const bool reused = worker_ != nullptr;
   for (int round = 0; round < 2; ++round) {
@@ -158,12 +158,13 @@
   }
   body_sent_ = body_whole_;
   if (!body_whole_) {
-    upload_.Start(yield, [this](net::yield inner) { SendRest(inner); });
+    upload_.Start(yield, [this](const net::yield& inner) { SendRest(inner); });
   }
   return {verdict::kMayHaveRun};
 }
 
-bool worker_exchange::SendPart(std::string_view bytes, net::yield yield) {
+bool worker_exchange::SendPart(std::string_view bytes,
+                               const net::yield& yield) {
   const std::string before = chunked_ ? ChunkHead(bytes.size()) : "";
   const std::string_view after = chunked_ ? "\r\n" : "";
   const std::array<asio::const_buffer, 3> parts = {
@@ -174,7 +175,7 @@
   return !error;
 }
 
-void worker_exchange::SendRest(net::yield yield) {
+void worker_exchange::SendRest(const net::yield& yield) {
   std::vector<char> buffer(kPartBytes);
   for (;;) {
     const auto got = entry_->Read(buffer.data(), buffer.size(), yield);
@@ -199,7 +200,8 @@
           error.message()};
 }
 
-bool worker_exchange::ReadAnswerHead(net::yield yield, error_code& error) {
+bool worker_exchange::ReadAnswerHead(const net::yield& yield,
+                                     error_code& error) {
   do {
     parser_.emplace();
     parser_->header_limit(static_cast<uint32_t>(options_.max_header_bytes));
@@ -229,7 +231,7 @@
   return out;
 }
 
-worker_exchange::report worker_exchange::Receive(net::yield yield) {
+worker_exchange::report worker_exchange::Receive(const net::yield& yield) {
   error_code error;
   if (!ReadAnswerHead(yield, error)) {
     return Lost(error);
@@ -244,7 +246,7 @@
   return end ? report{verdict::kRan, "", "", true} : PassOnBody(yield);
 }
 
-worker_exchange::report worker_exchange::PassOnBody(net::yield yield) {
+worker_exchange::report worker_exchange::PassOnBody(const net::yield& yield) {
   std::vector<char> buffer(kPartBytes);
   while (!parser_->is_done()) {
     auto& body = parser_->get().body();
@@ -268,7 +270,7 @@
 
 bool worker_exchange::WriteToEntry(std::string_view bytes,
                                    bool end,
-                                   net::yield yield) {
+                                   const net::yield& yield) {
   // The timer outlives this call only as a cancelled handler.
   struct slow_timer {
     slow_timer(const net::yield& yield) : timer(yield.get_executor()) {}
--- a/src/routing/worker_exchange.h
+++ b/src/routing/worker_exchange.h
@@ -44,23 +44,24 @@
                   boot_time deadline,
                   hooks hooks);
 
-  report Run(net::yield yield);
+  report Run(const net::yield& yield);
 
  private:
   using parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  bool ReadFirstPart(net::yield yield);
+  bool ReadFirstPart(const net::yield& yield);
   std::string RequestHead() const;
-  report Send(net::yield yield);
+  report Send(const net::yield& yield);
   // Sends head and first part of the body; the number of bytes sent.
-  size_t SendStart(net::yield yield, boost::system::error_code& error);
-  void SendRest(net::yield yield);
-  bool SendPart(std::string_view bytes, net::yield yield);
-  report Receive(net::yield yield);
-  bool ReadAnswerHead(net::yield yield, boost::system::error_code& error);
-  report PassOnBody(net::yield yield);
-  bool WriteToEntry(std::string_view bytes, bool end, net::yield yield);
+  size_t SendStart(const net::yield& yield, boost::system::error_code& error);
+  void SendRest(const net::yield& yield);
+  bool SendPart(std::string_view bytes, const net::yield& yield);
+  report Receive(const net::yield& yield);
+  bool ReadAnswerHead(const net::yield& yield,
+                      boost::system::error_code& error);
+  report PassOnBody(const net::yield& yield);
+  bool WriteToEntry(std::string_view bytes, bool end, const net::yield& yield);
   net::header_list AnswerHead() const;
   report Lost(const boost::system::error_code& error) const;
   millis TimeLeft() const;
--- a/src/routing/worker_pool.cc
+++ b/src/routing/worker_pool.cc
@@ -36,7 +36,8 @@
   }
 }
 
-std::unique_ptr<worker_pool::stream> worker_pool::TakeIdle(net::yield yield) {
+std::unique_ptr<worker_pool::stream> worker_pool::TakeIdle(
+    const net::yield& yield) {
   for (;;) {
     idle_socket found;
     {
@@ -64,7 +65,7 @@
 }
 
 result<std::unique_ptr<worker_pool::stream>> worker_pool::Connect(
-    net::yield yield) const {
+    const net::yield& yield) const {
   auto out = std::make_unique<stream>(yield.get_executor());
   error_code error;
   out->expires_after(connect_timeout_);
--- a/src/routing/worker_pool.h
+++ b/src/routing/worker_pool.h
@@ -27,10 +27,10 @@
 
   // A connection that was used before and that the worker has not closed, as
   // far as can be seen; null if there is none.
-  std::unique_ptr<stream> TakeIdle(net::yield yield);
+  std::unique_ptr<stream> TakeIdle(const net::yield& yield);
 
   // A new connection; fails with "worker_unreachable".
-  result<std::unique_ptr<stream>> Connect(net::yield yield) const;
+  result<std::unique_ptr<stream>> Connect(const net::yield& yield) const;
 
   // Gives back a connection whose last answer was read to its end.
   void Put(std::unique_ptr<stream> used);
--- /dev/null
+++ b/tests/routing/request_front_test.cc
@@ -0,0 +1,403 @@
+#include "chiveglade/routing/request_front.h"
+
+#include "tests/routing/routing_fixture.h"
+
+namespace chiveglade::routing {
+
+using testing::open_fault;
+
+// Guards against answers that are altered on the way, and against callers that
+// forge fields of this project.
+TEST_CASE_METHOD(front_fixture, "a request and its answer pass unchanged") {
+  net::header_list seen;
+  auto echo = agent;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    seen = stream->request_headers();
+    echo(stream, yield);
+  };
+  Run([&](net::yield yield) {
+    const auto answer = Post("/a?b=c", "hello",
+                             "chiveglade-class: forged\r\nx-own: 1\r\n"
+                             "chiveglade-request-id: id-7\r\n",
+                             yield);
+    CHECK(Says(answer, "200"));
+    CHECK(answer.find("POST /a?b=c hello") != std::string::npos);
+    CHECK(answer.find("chiveglade-request-id: id-7\r\n") != std::string::npos);
+    CHECK(net::FindHeader(seen, "chiveglade-class") == "normal");
+    CHECK(net::FindHeader(seen, "chiveglade-service") == "s");
+    CHECK(net::FindHeader(seen, "chiveglade-request-id") == "id-7");
+    CHECK(net::FindHeader(seen, "x-own") == "1");
+    CHECK(net::FindHeader(seen, "content-length") == "5");
+    CHECK(std::stoi(std::string(
+              net::FindHeader(seen, "chiveglade-deadline-ms"))) > 9'000);
+    CHECK(net::FindHeader(seen, "connection").empty());
+  });
+  CHECK(records.at(0).ran == verdict::kRan);
+  CHECK(records.at(0).tenant == "t");
+}
+
+// Guards against requests that are sent twice although the first copy may have
+// run (invariant 7), and against giving up where a retry is safe.
+TEST_CASE_METHOD(front_fixture, "retries follow the verdict table") {
+  int faults_left = 1;
+  std::string agent_says;
+  auto echo = agent;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    if (faults_left-- <= 0) {
+      echo(stream, yield);
+    } else if (agent_says == "lost") {
+      ReadAll(*stream, yield);
+      stream->Reset(net::h2_error::kInternal);
+    } else {
+      AnswerWith(
+          *stream, "503",
+          {{"chiveglade-verdict", agent_says}, {"chiveglade-reason", "why"}},
+          "", yield);
+    }
+  };
+  const auto both = [&](net::yield yield, const char* says, bool get_again,
+                        bool post_again) {
+    CAPTURE(says);
+    agent_says = says;
+    faults_left = 1;
+    CHECK(Says(Get("/x", yield), get_again ? "200" : "502"));
+    faults_left = 1;
+    const int before = opened();
+    CHECK(Says(Post("/x", "b", "", yield), post_again ? "200" : "502"));
+    CHECK(opened() - before == (post_again ? 2 : 1));
+  };
+  Run([&](net::yield yield) {
+    both(yield, "not_run", true, true);
+    both(yield, "may_have_run", true, false);
+    both(yield, "lost", true, false);
+    both(yield, "not_runx", true, false);
+    for (auto fault : {open_fault::kCannotConnect, open_fault::kRefuseStream}) {
+      int times = 1;
+      SetFaults([&] { return times-- > 0 ? fault : open_fault::kNone; });
+      CHECK(Says(Post("/x", "b", "", yield), "200"));
+      SetFaults([fault] { return fault; });
+      const int before = opened();
+      const auto answer = Post("/x", "b", "", yield);
+      CHECK(Says(answer, "503", "not_run",
+                 fault == open_fault::kCannotConnect ? "agent_unreachable"
+                                                     : "stream_refused"));
+      CHECK(answer.find("retry-after: ") != std::string::npos);
+      CHECK(opened() - before == 3);
+      SetFaults(nullptr);
+    }
+  });
+}
+
+// Guards against not_run for a request whose first try may have run.
+TEST_CASE_METHOD(front_fixture, "a refused retry does not undo may_have_run") {
+  int calls = 0;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    ReadAll(*stream, yield);
+    if (++calls == 1) {
+      stream->Reset(net::h2_error::kInternal);
+    } else {
+      AnswerWith(*stream, "503",
+                 {{"chiveglade-verdict", "not_run"},
+                  {"chiveglade-reason", "queue_full"}},
+                 "", yield);
+    }
+  };
+  Run([&](net::yield yield) {
+    CHECK(Says(Get("/x", yield), "502", "may_have_run", "queue_full"));
+  });
+}
+
+// Guards against a truncated answer that looks whole, and against an answer
+// that belongs to another request (invariant 5).
+TEST_CASE_METHOD(front_fixture, "incomplete or foreign answers are not given") {
+  int part = 0;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    const net::header_list id = {
+        {":status", "200"},
+        {"chiveglade-request-id",
+         part == 4 ? "other"
+                   : std::string(net::FindHeader(stream->request_headers(),
+                                                 "chiveglade-request-id"))}};
+    auto with_length = id;
+    with_length.emplace_back("content-length", "10");
+    (void)stream->WriteHeaders(part == 0 ? id : with_length, false, yield);
+    (void)stream->Write(part == 2 ? "0123456789x" : "01234", part != 0, yield);
+  };
+  Run([&](net::yield yield) {
+    for (part = 0; part < 3; ++part) {
+      CAPTURE(part);
+      const auto answer = Post("/x", "b", "", yield);
+      CHECK((Says(answer, "502", "may_have_run", "answer_truncated") ||
+             answer.substr(answer.size() - 5) == "RESET"));
+    }
+    part = 4;
+    CHECK(Says(Post("/x", "b", "", yield), "502", "may_have_run",
+               "connection_lost"));
+  });
+  for (const auto& each : records) {
+    CHECK(each.ran == verdict::kMayHaveRun);
+    CHECK(each.tries == 1);
+  }
+}
+
+// Guards against answers that go to the wrong request when targets answer out
+// of order (invariant 5).
+TEST_CASE_METHOD(front_fixture, "answers out of order reach their callers") {
+  constexpr int kCallers = 20;
+  std::vector<std::pair<std::string, net::h2_stream_ptr>> waiting;
+  net::asio::steady_timer all_here(loop,
+                                   net::asio::steady_timer::time_point::max());
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    const auto path =
+        std::string(net::FindHeader(stream->request_headers(), ":path"));
+    const auto turn = std::stoi(path.substr(2));
+    waiting.emplace_back(path, stream);
+    // Answers in the opposite order of the numbers in the paths.
+    while (waiting.size() < kCallers ||
+           static_cast<int>(served.size()) != kCallers - 1 - turn) {
+      boost::system::error_code ignored;
+      all_here.cancel();
+      all_here.async_wait(yield[ignored]);
+    }
+    served.push_back(path);
+    all_here.cancel();
+    AnswerWith(*stream, "200", {}, "answer to " + path + ".", yield);
+  };
+  Run([&](net::yield yield) {
+    int answered = 0;
+    for (int i = 0; i < kCallers; ++i) {
+      net::asio::spawn(
+          loop,
+          [&, i](net::yield inner) {
+            const auto path = "/n" + std::to_string(i);
+            CHECK(Get(path, inner).find("answer to " + path + ".") !=
+                  std::string::npos);
+            if (++answered == kCallers) {
+              all_here.cancel();
+            }
+          },
+          net::asio::detached);
+    }
+    while (answered < kCallers) {
+      boost::system::error_code ignored;
+      all_here.async_wait(yield[ignored]);
+    }
+    // Requests sent without waiting are answered in their order.
+    agent = [](const net::h2_stream_ptr& stream, net::yield inner) {
+      AnswerWith(
+          *stream, "200", {},
+          std::string(net::FindHeader(stream->request_headers(), ":path")),
+          inner);
+    };
+    const auto both =
+        Ask("GET /first HTTP/1.1\r\nhost: h\r\n\r\n"
+            "GET /second HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+            yield);
+    CHECK(both.find("/first") < both.find("/second"));
+    CHECK(both.find("/second") != std::string::npos);
+  });
+}
+
+// Guards against malformed input that reaches a target, above all framing that
+// two parties read differently, and against input without limit.
+TEST_CASE_METHOD(front_fixture, "malformed and oversized input is refused") {
+  options.max_body_bytes = 100'000;
+  options.max_claimed_body_bytes = 50'000;
+  Run([&](net::yield yield) {
+    const std::string h = " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n";
+    CHECK(Says(Ask("nonsense\r\n\r\n", yield), "400", "not_run", "malformed"));
+    CHECK(Says(Ask("GET /a HTTP/1.1\r\nbad header\r\n\r\n", yield), "400"));
+    CHECK(Says(Get("/a/../b", yield), "400", "not_run", "bad_target"));
+    CHECK(Says(Get("/tasks/start", yield), "404", "not_run", "no_route"));
+    CHECK(Says(Ask("GET /" + std::string(20'000, 'a') + h + "\r\n", yield),
+               "431", "not_run", "header_too_large"));
+    CHECK(Says(Ask("POST /a" + h +
+                       "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n"
+                       "0\r\n\r\n",
+                   yield),
+               "400"));
+    CHECK(Says(Ask("POST /a" + h +
+                       "transfer-encoding: gzip, chunked\r\n\r\n"
+                       "0\r\n\r\n",
+                   yield),
+               "501", "not_run", "bad_encoding"));
+    CHECK(Says(Ask("POST /a" + h +
+                       "content-length: 3\r\n"
+                       "content-length: 4\r\n\r\nabcd",
+                   yield),
+               "400"));
+    CHECK(Says(Post("/a", std::string(100'001, 'a'), "", yield), "413",
+               "not_run", "body_too_large"));
+    CHECK(Says(
+        Post("/a", std::string(50'001, 'a'), "idempotency-key: k\r\n", yield),
+        "413", "not_run", "body_too_large"));
+    CHECK(Says(
+        Ask("POST /a" + h + "transfer-encoding: chunked\r\n\r\nzz\r\n", yield),
+        "400", "not_run", "bad_body"));
+    CHECK(
+        Says(Post("/a", "b",
+                  "idempotency-key: " + std::string(256, 'k') + "\r\n", yield),
+             "400", "not_run", "bad_key"));
+    CHECK(opened() == 0);
+    CHECK(Says(Get("/ok", yield), "200"));
+    // A body of chunks above the limit is noticed when part of it was sent on.
+    const std::string chunk = "4000\r\n" + std::string(16'384, 'a') + "\r\n";
+    std::string large = "POST /a" + h + "transfer-encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 8; ++i) {
+      large += chunk;
+    }
+    CHECK(Says(Ask(large + "0\r\n\r\n", yield), "413", "may_have_run",
+               "body_too_large"));
+  });
+}
+
+// Guards against bodies that are cut or held in memory as a whole.
+TEST_CASE_METHOD(front_fixture, "long bodies stream both ways") {
+  const std::string body(3'000'000, 'q');
+  Run([&](net::yield yield) {
+    const auto sized = Post("/x", body, "", yield);
+    CHECK(sized.find("POST /x ") != std::string::npos);
+    CHECK(std::count(sized.begin(), sized.end(), 'q') >= 3'000'000);
+    CHECK(sized.substr(sized.size() - 7) == "\r\n0\r\n\r\n");
+    std::string chunks =
+        "POST /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+        "expect: 100-continue\r\n"
+        "transfer-encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 30; ++i) {
+      chunks += "186a0\r\n" + body.substr(0, 100'000) + "\r\n";
+    }
+    const auto chunked = Ask(chunks + "0\r\n\r\n", yield);
+    CHECK(chunked.rfind("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200", 0) == 0);
+    CHECK(std::count(chunked.begin(), chunked.end(), 'q') >= 3'000'000);
+  });
+}
+
+// Guards against a caller that stops reading or sending and holds memory and a
+// target for ever.
+TEST_CASE_METHOD(front_fixture, "stopped callers are given up") {
+  options.stall_timeout = millis(50);
+  bool stream_ended = false;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    AnswerWith(*stream, "200", {}, std::string(50'000'000, 'x'), yield);
+    stream_ended = true;
+  };
+  Run([&](net::yield yield) {
+    auto socket = Connect(yield);
+    net::asio::async_write(
+        socket,
+        net::asio::buffer(std::string("GET /x HTTP/1.1\r\nhost: h\r\n\r\n")),
+        yield);
+    while (records.empty()) {
+      net::asio::post(loop, yield);
+    }
+    CHECK(records.at(0).code == "caller_gone");
+    CHECK(ReadToEnd(socket, yield).size() < 50'000'000);
+    CHECK(Says(Ask("POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nab",
+                   yield),
+               "408", "not_run", "body_timeout"));
+    CHECK(front->open_requests() == 0);
+  });
+  CHECK(stream_ended);
+}
+
+// Guards against a booking that runs twice or is told not_run although it ran
+// (invariants 6 and 7).
+TEST_CASE_METHOD(front_fixture, "a key makes a request run at most once") {
+  const std::string key = "idempotency-key: k\r\n";
+  Run([&](net::yield yield) {
+    const auto first = Post("/x", "b", key, yield);
+    CHECK(Says(first, "200"));
+    CHECK(Post("/x", "b", key, yield).find("POST /x b") != std::string::npos);
+    CHECK(served.size() == 1);
+    CHECK(Says(Post("/x", "c", key, yield), "422", "not_run", "key_mismatch"));
+    // The key of an idempotent route needs no claim.
+    CHECK(Says(Ask("GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n" + key +
+                       "\r\n",
+                   yield),
+               "200"));
+    SetFaults([] { return open_fault::kCannotConnect; });
+    const std::string other = "idempotency-key: l\r\n";
+    CHECK(Says(Post("/x", "b", other, yield), "503", "not_run",
+               "agent_unreachable"));
+    SetFaults(nullptr);
+    CHECK(Says(Post("/x", "b", other, yield), "200"));
+    const auto echo = agent;
+    agent = [](const net::h2_stream_ptr& stream, net::yield) {
+      stream->Reset(net::h2_error::kInternal);
+    };
+    const std::string lost =
+        "idempotency-key: m\r\nchiveglade-deadline-ms: 200\r\n";
+    CHECK(Says(Post("/x", "b", lost, yield), "502", "may_have_run",
+               "connection_lost"));
+    agent = echo;
+    const int before = opened();
+    CHECK(Says(Post("/x", "b", lost, yield), "409", "may_have_run", "claimed"));
+    store.SetFaults(
+        [](const auto&, const auto&) { return testing::store_fault::kRefuse; });
+    CHECK(Says(Post("/x", "b", "idempotency-key: n\r\n", yield), "503",
+               "not_run", "store_unavailable"));
+    CHECK(opened() == before);
+    CHECK(Says(Get("/x", yield), "200"));
+  });
+}
+
+// Guards against a planned stop that interrupts a request (invariant 9).
+TEST_CASE_METHOD(front_fixture, "draining finishes what is in flight") {
+  options.drain_idle = millis(20);
+  net::asio::steady_timer go(loop, net::asio::steady_timer::time_point::max());
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    boost::system::error_code ignored;
+    served.emplace_back("arrived");
+    go.async_wait(yield[ignored]);
+    AnswerWith(*stream, "200", {}, "late answer", yield);
+  };
+  Run([&](net::yield yield) {
+    auto busy = Connect(yield);
+    auto idle = Connect(yield);
+    net::asio::async_write(
+        busy,
+        net::asio::buffer(std::string("GET /x HTTP/1.1\r\nhost: h\r\n\r\n")),
+        yield);
+    while (served.empty()) {
+      net::asio::post(loop, yield);
+    }
+    bool drained = false;
+    front->Drain([&] { drained = true; });
+    CHECK(ReadToEnd(idle, yield).empty());
+    CHECK_FALSE(drained);
+    go.cancel();
+    const auto answer = ReadToEnd(busy, yield);
+    CHECK(answer.find("connection: close\r\n") != std::string::npos);
+    CHECK(answer.find("late answer") != std::string::npos);
+    busy.close();
+    while (!drained) {
+      net::asio::post(loop, yield);
+    }
+    boost::system::error_code refused;
+    tcp::socket late(loop);
+    late.async_connect(
+        {net::asio::ip::make_address("127.0.0.1"), front->port()},
+        yield[refused]);
+    CHECK(refused);
+  });
+}
+
+// Guards against an entry that takes more requests than it can hold.
+TEST_CASE_METHOD(front_fixture, "open requests are limited") {
+  options.open_requests = 0;
+  Run([&](net::yield yield) {
+    CHECK(Says(Get("/x", yield), "503", "not_run", "overloaded"));
+  });
+  directory->SetOutOfService({"east"}, {});
+  options.open_requests = 1;
+  loop.restart();
+  Run([&](net::yield yield) {
+    CHECK(Says(Get("/x", yield), "503", "not_run", "no_target"));
+    CHECK(Says(Ask("GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+                   "chiveglade-deadline-ms: 0\r\n\r\n",
+                   yield),
+               "504", "not_run", "deadline"));
+  });
+}
+
+}  // namespace chiveglade::routing
--- /dev/null
+++ b/tests/routing/routing_fixture.h
@@ -0,0 +1,221 @@
+// An entry's front with targets in memory, and callers over loopback TCP.
+#ifndef CHIVEGLADE_TESTS_ROUTING_ROUTING_FIXTURE_H_
+#define CHIVEGLADE_TESTS_ROUTING_ROUTING_FIXTURE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chiveglade/routing/request_front.h"
+#include "tests/routing/memory_h2.h"
+#include "tests/support/memory_store.h"
+
+namespace chiveglade::routing {
+
+// GET is idempotent and POST is not; /archive has a class of its own.
+inline config::manifest ExampleManifest() {
+  config::manifest out;
+  config::service_spec service;
+  service.name = "s";
+  service.tenant = "t";
+  out.services = {service};
+  out.request_classes = {{"normal", 1},
+                         {"archive", 5, 100, millis(10'000), 50}};
+  out.routes = {{"/", "", "s", "normal", true},
+                {"/", "POST", "s", "normal", false},
+                {"/archive", "", "s", "archive", true}};
+  return out;
+}
+
+// Reads the whole body of a stream.
+inline std::string ReadAll(net::h2_stream& stream, net::yield yield) {
+  std::string out;
+  char part[4'096];
+  for (;;) {
+    const auto got = stream.Read(part, sizeof(part), yield);
+    if (!got || *got == 0) {
+      return out;
+    }
+    out.append(part, *got);
+  }
+}
+
+// Answers as an agent does.
+inline void AnswerWith(net::h2_stream& stream,
+                       const std::string& status,
+                       net::header_list fields,
+                       const std::string& body,
+                       net::yield yield) {
+  const auto& request = stream.request_headers();
+  fields.insert(fields.begin(), {":status", status});
+  fields.emplace_back("chiveglade-request-id",
+                      net::FindHeader(request, "chiveglade-request-id"));
+  (void)stream.WriteHeaders(fields, body.empty(), yield);
+  if (!body.empty()) {
+    (void)stream.Write(body, true, yield);
+  }
+}
+
+struct front_fixture {
+  using tcp = net::asio::ip::tcp;
+
+  net::asio::io_context loop;
+  testing::memory_store store;
+  random_engine engine{5};
+  config::manifest manifest = ExampleManifest();
+  std::shared_ptr<target_directory> directory =
+      *target_directory::Make({"east"}, boot_clock::now);
+  front_options options;
+  std::vector<request_record> records;
+  std::map<std::string, std::shared_ptr<testing::memory_client>> agents;
+  std::shared_ptr<request_front> front;
+  std::vector<std::string> served;  // "vm method path body", in order
+  // How the agent at "10.0.0.N:1" answers; by default with what it got.
+  net::h2_handler agent = [this](const net::h2_stream_ptr& stream,
+                                 net::yield yield) {
+    const auto body = ReadAll(*stream, yield);
+    const auto& fields = stream->request_headers();
+    served.push_back(std::string(net::FindHeader(fields, ":method")) + " " +
+                     std::string(net::FindHeader(fields, ":path")));
+    AnswerWith(*stream, "200", {}, served.back() + " " + body, yield);
+  };
+
+  front_fixture() {
+    options.entry = "e";
+    options.listen = {"127.0.0.1", 0};
+    AddTargets(4);
+  }
+
+  void AddTargets(int count) {
+    for (int i = 0; i < count; ++i) {
+      state::heartbeat beat;
+      beat.vm = {"vm" + std::to_string(i), 1};
+      beat.data_centre = "east";
+      beat.address = "10.0.0." + std::to_string(i) + ":1";
+      beat.targets = {{"s", 8, 0, 0, 0}};
+      directory->OnHeartbeat(beat);
+      agents[beat.address] = std::make_shared<testing::memory_client>(
+          loop, [this](net::h2_stream_ptr stream, net::yield yield) {
+            agent(std::move(stream), yield);
+          });
+    }
+  }
+  void SetFaults(const std::function<testing::open_fault()>& faults) {
+    for (const auto& [address, client] : agents) {
+      client->faults = faults;
+    }
+  }
+  int opened() const {
+    int out = 0;
+    for (const auto& [address, client] : agents) {
+      out += client->opened;
+    }
+    return out;
+  }
+
+  front_hooks Hooks() {
+    front_hooks out;
+    out.manifest = [shared = std::make_shared<const config::manifest>(
+                        manifest)] { return shared; };
+    out.directory = directory;
+    out.claims = claim_book::Make(
+        {"e"},
+        {store.table(), boot_clock::now, [] { return int64_t{1}; },
+         [this] { return engine(); },
+         [this](millis wait, std::function<void()> then) {
+           auto timer = std::make_shared<net::asio::steady_timer>(loop, wait);
+           timer->async_wait([timer, then = std::move(then)](auto) { then(); });
+         }});
+    out.connect = [this](const config::endpoint& at) {
+      return agents.at(config::ToString(at));
+    };
+    out.record = [this](const request_record& each) {
+      records.push_back(each);
+    };
+    out.clock = boot_clock::now;
+    out.random = [this] { return engine(); };
+    return out;
+  }
+
+  // Runs the body as a coroutine with the front listening, then stops it.
+  void Run(const std::function<void(net::yield)>& body) {
+    auto made = request_front::Make(loop, options, Hooks());
+    REQUIRE(made);
+    front = *made;
+    bool ended = false;
+    net::asio::spawn(
+        loop,
+        [&](net::yield yield) {
+          body(yield);
+          ended = true;
+          front->Stop();
+        },
+        net::asio::detached);
+    // The limit only ends a run that would hang.
+    loop.run_for(std::chrono::seconds(30));
+    CHECK(ended);
+  }
+
+  tcp::socket Connect(net::yield yield) {
+    tcp::socket out(loop);
+    out.async_connect({net::asio::ip::make_address("127.0.0.1"), front->port()},
+                      yield);
+    return out;
+  }
+  // Sends bytes and reads until the connection ends. "RESET" at the end stands
+  // for an aborted connection.
+  std::string Ask(const std::string& bytes, net::yield yield) {
+    auto socket = Connect(yield);
+    net::asio::async_write(socket, net::asio::buffer(bytes), yield);
+    return ReadToEnd(socket, yield);
+  }
+  static std::string ReadToEnd(tcp::socket& socket, net::yield yield) {
+    std::string out;
+    boost::system::error_code error;
+    net::asio::async_read(socket, net::asio::dynamic_buffer(out), yield[error]);
+    return error == net::asio::error::eof ? out : out + "RESET";
+  }
+  std::string Get(const std::string& path, net::yield yield) {
+    return Ask(
+        "GET " + path + " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
+        yield);
+  }
+  std::string Post(const std::string& path,
+                   const std::string& body,
+                   const std::string& more_fields,
+                   net::yield yield) {
+    return Ask(
+        "POST " + path + " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n" +
+            more_fields + "content-length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body,
+        yield);
+  }
+};
+
+// Checks the status, and for refusals verdict and reason.
+inline bool Says(const std::string& answer,
+                 const std::string& status,
+                 const std::string& verdict = "",
+                 const std::string& code = "") {
+  const auto has = [&](const std::string& text) {
+    return answer.find(text) != std::string::npos;
+  };
+  const bool out =
+      answer.rfind("HTTP/1.1 " + status, 0) == 0 &&
+      (verdict.empty() ||
+       (has("\"verdict\":\"" + verdict + "\"") &&
+        has("chiveglade-verdict: " + verdict) &&
+        has("\"reason\":\"" + code + "\"") && has("\"request_id\":")));
+  if (!out) {
+    UNSCOPED_INFO(answer);
+  }
+  return out;
+}
+
+}  // namespace chiveglade::routing
+
+#endif  // CHIVEGLADE_TESTS_ROUTING_ROUTING_FIXTURE_H_
