--- a/src/sched/backfill.cc
+++ b/src/sched/backfill.cc
@@ -52,9 +52,9 @@
 }
 
 void backfill::End(plan_draft& draft) {
-  for (const auto& id : starts_.without_room()) {
-    const auto* job = draft.state().FindJob(id.job);
-    if (job != nullptr && Large(job->spec)) {
+  for (const auto& [job, index] : starts_.without_room()) {
+    if (Large(job->spec)) {
+      const state::task_id id{job->spec.name, index};
       waiting_.try_emplace(id, waiting{draft.now(), draft.now()})
           .first->second.seen = draft.now();
     }
--- a/src/sched/demand_model.cc
+++ b/src/sched/demand_model.cc
@@ -13,6 +13,8 @@
 constexpr double kFewestSamples = 20;
 // All counts are halved at this number, so that old reports fade.
 constexpr double kMostSamples = 4'000;
+// The percentile is computed again after this many samples.
+constexpr uint32_t kUpdateEvery = 8;
 // Weight of a new run time.
 constexpr double kRunWeight = 0.1;
 
@@ -31,27 +33,32 @@
       std::clamp(position, 0.0, static_cast<double>(buckets_.size() - 1)));
   buckets_[bucket] += 1;
   total_ += 1;
-  if (total_ < kMostSamples) {
-    return;
+  if (total_ >= kMostSamples) {
+    for (auto& count : buckets_) {
+      count /= 2;
+    }
+    total_ /= 2;
   }
-  for (auto& count : buckets_) {
-    count /= 2;
+  if (until_update_-- == 0) {
+    Update();
   }
-  total_ /= 2;
 }
 
-double ratio_histogram::Percentile90() const {
+void ratio_histogram::Update() {
+  until_update_ = kUpdateEvery - 1;
+  percentile90_ = 1;
   if (total_ < kFewestSamples) {
-    return 1;
+    return;
   }
   double seen = 0;
   for (size_t i = 0; i < buckets_.size(); ++i) {
     seen += buckets_[i];
     if (seen >= 0.9 * total_) {
-      return kLowestRatio * std::exp2(static_cast<double>(i) / kPerDoubling);
+      percentile90_ =
+          kLowestRatio * std::exp2(static_cast<double>(i) / kPerDoubling);
+      return;
     }
   }
-  return 1;
 }
 
 void ratio_histogram::set_buckets(const std::array<float, 48>& buckets) {
@@ -60,6 +67,7 @@
   for (const auto count : buckets_) {
     total_ += count;
   }
+  Update();
 }
 
 demand_model::entry& demand_model::At(class_index klass) {
--- a/src/sched/demand_model.h
+++ b/src/sched/demand_model.h
@@ -16,15 +16,19 @@
  public:
   void Add(double ratio);
   // The 90th percentile, or 1 while there are too few samples.
-  double Percentile90() const;
+  double Percentile90() const { return percentile90_; }
 
   // For saving and loading.
   const std::array<float, 48>& buckets() const { return buckets_; }
   void set_buckets(const std::array<float, 48>& buckets);
 
  private:
+  void Update();
+
   std::array<float, 48> buckets_{};
   double total_ = 0;
+  double percentile90_ = 1;
+  uint32_t until_update_ = 0;
 };
 
 // Learns, per class, the 90th percentile of the ratio of measured to declared
--- a/src/sched/fair_order.cc
+++ b/src/sched/fair_order.cc
@@ -5,21 +5,60 @@
 
 namespace chiveglade::sched {
 
+namespace {
+
+// Shapes kept before numbering starts anew. Numbers are used within one plan
+// and cached per known job only.
+constexpr size_t kMostShapes = 10'000;
+
+}  // namespace
+
+uint32_t fair_order::ShapeOf(const state::job_spec& spec) {
+  std::string key = spec.klass;
+  key += '/';
+  key += std::to_string(static_cast<int>(spec.priority));
+  for (const auto amount : {spec.per_task.millicores, spec.per_task.memory_mib,
+                            spec.per_task.accelerators}) {
+    key += '/';
+    key += std::to_string(amount);
+  }
+  for (const auto& name : spec.data_centres) {
+    key += '/';
+    key += name;
+  }
+  return shapes_.emplace(std::move(key), static_cast<uint32_t>(shapes_.size()))
+      .first->second;
+}
+
 void fair_order::Begin(const state::cluster_state& state, boot_time now) {
   all_.clear();
-  std::unordered_map<std::string, boot_time> still_pending;
+  if (shapes_.size() > kMostShapes) {
+    shapes_.clear();
+    for (auto& known : known_) {
+      const auto* job = state.FindJob(known.name);
+      known.shape = job == nullptr ? 0 : ShapeOf(job->spec);
+    }
+  }
+  std::vector<known_job> still_pending;
   still_pending.reserve(state.pending().size());
+  auto known = known_.begin();
   for (const auto& [name, tasks] : state.pending()) {
     const auto* job = state.FindJob(name);
     if (job == nullptr || tasks.empty()) {
       continue;
     }
-    const auto known = since_.find(name);
-    const boot_time since = known == since_.end() ? now : known->second;
-    still_pending.emplace(name, since);
-    all_.push_back({job, &tasks, since});
+    while (known != known_.end() && known->name < name) {
+      ++known;
+    }
+    if (known != known_.end() && known->name == name) {
+      still_pending.push_back(std::move(*known));
+    } else {
+      still_pending.push_back({name, now, ShapeOf(job->spec)});
+    }
+    all_.push_back(
+        {job, &tasks, still_pending.back().since, still_pending.back().shape});
   }
-  since_ = std::move(still_pending);
+  known_ = std::move(still_pending);
   for (auto& band : bands_) {
     band = {};
   }
@@ -79,8 +118,12 @@
 }
 
 boot_time fair_order::Since(const std::string& job) const {
-  const auto it = since_.find(job);
-  return it == since_.end() ? boot_time{} : it->second;
+  const auto it =
+      std::lower_bound(known_.begin(), known_.end(), job,
+                       [](const known_job& known, const auto& name) {
+                         return known.name < name;
+                       });
+  return it == known_.end() || it->name != job ? boot_time{} : it->since;
 }
 
 }  // namespace chiveglade::sched
--- a/src/sched/fair_order.h
+++ b/src/sched/fair_order.h
@@ -18,6 +18,9 @@
   const state::job* job = nullptr;
   const std::set<uint32_t>* tasks = nullptr;
   boot_time since;  // when the planner first saw it pending
+  // Jobs with the same number are alike in all that a search for room depends
+  // on: class, band, size and data centres.
+  uint32_t shape = 0;
 };
 
 // Within a band, the tenant that holds the smallest dominant share of its
@@ -39,7 +42,9 @@
 
   // Every pending job, in no particular order.
   const std::vector<pending_job>& all() const { return all_; }
-  // How long ago a job was first seen pending.
+  // One more than the largest shape number.
+  size_t shapes() const { return shapes_.size(); }
+  // When a job was first seen pending; the epoch if it is not.
   boot_time Since(const std::string& job) const;
 
  private:
@@ -57,7 +62,15 @@
   };
 
   std::vector<pending_job> all_;
-  std::unordered_map<std::string, boot_time> since_;
+  struct known_job {
+    std::string name;
+    boot_time since;
+    uint32_t shape = 0;
+  };
+  uint32_t ShapeOf(const state::job_spec& spec);
+
+  std::vector<known_job> known_;  // by name
+  std::unordered_map<std::string, uint32_t> shapes_;
   band_queue bands_[4];
 };
 
--- a/src/sched/hints.cc
+++ b/src/sched/hints.cc
@@ -59,6 +59,7 @@
       tables.classes.Index(from["neighbour"].get<std::string>());
   tables.interference.At(victim, neighbour) = {
       from["mean"].get<double>(), from["samples"].get<double>(), now};
+  tables.interference.Age(now);
 }
 
 void ReadThrottle(const json& from,
--- a/src/sched/interference_guard.cc
+++ b/src/sched/interference_guard.cc
@@ -45,12 +45,11 @@
 }
 
 double interference_guard::Harm(const vm_slot& slot,
-                                const resident& neighbour,
-                                boot_time now) const {
+                                const resident& neighbour) const {
   double harm = 0;
   for (const auto& victim : slot.residents) {
     if (&victim != &neighbour && classes_.at(victim.klass).latency_critical) {
-      harm += model_.Effect(victim.klass, neighbour.klass, now);
+      harm += model_.Effect(victim.klass, neighbour.klass);
     }
   }
   return harm;
@@ -67,6 +66,7 @@
     return;
   }
   auto& seen = known == watches_.end() ? watches_[slot.name] : known->second;
+  DropEnded(slot, seen);
   const bool above = worst.value_or(0) > 1;
   above_ += above ? 1 : 0;
   above_ -= seen.above ? 1 : 0;
@@ -114,7 +114,7 @@
     if (!Adjustable(other) || percent <= kSteps[2]) {
       continue;
     }
-    const double harm = Harm(slot, other, draft.now()) * percent / 100;
+    const double harm = Harm(slot, other) * percent / 100;
     if (harm > worst_harm) {
       worst = &other;
       worst_harm = harm;
@@ -145,7 +145,7 @@
   resident* worst = nullptr;
   double worst_harm = 0;
   for (auto& other : slot.residents) {
-    const double harm = Harm(slot, other, draft.now());
+    const double harm = Harm(slot, other);
     if (Adjustable(other) && harm > worst_harm) {
       worst = &other;
       worst_harm = harm;
@@ -175,7 +175,7 @@
     if (it == seen.throttles.end() || it->second.percent >= 100) {
       continue;
     }
-    const double harm = Harm(slot, other, draft.now());
+    const double harm = Harm(slot, other);
     if (mildest == nullptr || harm < least_harm) {
       mildest = &other;
       least_harm = harm;
@@ -210,22 +210,24 @@
 }
 
 void interference_guard::Trim(const vm_index& index) {
-  for (auto it = watches_.begin(); it != watches_.end();) {
-    const auto* slot = index.Find(it->first);
-    if (slot == nullptr) {
-      above_ -= it->second.above ? 1 : 0;
-      it = watches_.erase(it);
-      continue;
-    }
-    std::erase_if(it->second.throttles, [&](const auto& entry) {
-      return std::none_of(
-          slot->residents.begin(), slot->residents.end(),
-          [&](const auto& other) { return other.attempt == entry.first; });
+  if (generation_ != index.generation()) {
+    generation_ = index.generation();
+    std::erase_if(watches_, [&](const auto& entry) {
+      const bool gone = index.Find(entry.first) == nullptr;
+      above_ -= gone && entry.second.above ? 1 : 0;
+      return gone;
     });
-    ++it;
   }
 }
 
+void interference_guard::DropEnded(const vm_slot& slot, watch& seen) {
+  std::erase_if(seen.throttles, [&](const auto& entry) {
+    return std::none_of(
+        slot.residents.begin(), slot.residents.end(),
+        [&](const auto& other) { return other.attempt == entry.first; });
+  });
+}
+
 double interference_guard::Speed(const std::string& vm,
                                  const state::attempt_id& attempt) const {
   const auto seen = watches_.find(vm);
--- a/src/sched/interference_guard.h
+++ b/src/sched/interference_guard.h
@@ -27,7 +27,7 @@
   // a latency-critical resident as a share of its limit; none: not measured.
   void OnReport(vm_slot& slot, std::optional<double> worst, plan_draft& draft);
 
-  // Forgets VMs and attempts that are gone. Called once a plan.
+  // Forgets VMs that are gone. Called once a plan.
   void Trim(const vm_index& index);
 
   // Share of its processors that an attempt has, 1 if not throttled.
@@ -57,6 +57,7 @@
     bool above = false;
     std::map<state::attempt_id, throttle> throttles;
   };
+  static void DropEnded(const vm_slot& slot, watch& seen);
   void Tighten(vm_slot& slot, watch& seen, plan_draft& draft);
   void Evict(vm_slot& slot, watch& seen, plan_draft& draft);
   void Lift(vm_slot& slot, watch& seen, plan_draft& draft);
@@ -67,9 +68,7 @@
            plan_draft& draft);
   // Sum of the learned slowdowns that a neighbour adds to the VM's
   // latency-critical residents at full speed.
-  double Harm(const vm_slot& slot,
-              const resident& neighbour,
-              boot_time now) const;
+  double Harm(const vm_slot& slot, const resident& neighbour) const;
   bool Adjustable(const resident& neighbour) const;
   bool WaveOfNoise() const;
 
@@ -77,7 +76,8 @@
   const class_table& classes_;
   const interference_model& model_;
   std::map<std::string, watch> watches_;
-  size_t above_ = 0;  // watches with a slowdown above the limit
+  uint64_t generation_ = 0;  // of the index, at the last Trim
+  size_t above_ = 0;         // watches with a slowdown above the limit
 };
 
 }  // namespace chiveglade::sched
--- a/src/sched/interference_model.cc
+++ b/src/sched/interference_model.cc
@@ -31,7 +31,7 @@
   double predicted = 0;
   double squares = 0;
   for (const auto& [klass, count] : neighbours) {
-    predicted += count * Effect(victim, klass, now);
+    predicted += count * Effect(victim, klass);
     squares += count * count;
   }
   // Less than a quarter of a neighbour tells nothing about its effect.
@@ -48,31 +48,28 @@
     auto& pair = At(victim, klass);
     pair.samples = Aged(pair, now);
     pair.updated = now;
-    const double blended = Effect(victim, klass, now);
+    const double blended = Effect(victim, klass);
     const double weight = std::max(kWeight, 1 / (1 + pair.samples)) * share;
     pair.mean = std::max(0.0, pair.samples > 0 ? pair.mean : blended);
     pair.mean = std::max(0.0, pair.mean + weight * error / count);
     pair.samples = std::min(kMostSamples, pair.samples + share);
+    Blend(pair, now);
   }
 }
 
-double interference_model::Effect(class_index victim,
-                                  class_index neighbour,
-                                  boot_time now) const {
-  const auto* pair = Find(victim, neighbour);
-  if (pair == nullptr) {
-    return kPrior;
-  }
-  const double samples = Aged(*pair, now);
-  return (samples * pair->mean + kPriorSamples * kPrior) /
-         (samples + kPriorSamples);
+void interference_model::Blend(pair_entry& pair, boot_time now) {
+  const double samples = Aged(pair, now);
+  pair.effect = (samples * pair.mean + kPriorSamples * kPrior) /
+                (samples + kPriorSamples);
+  pair.known = samples >= kKnownSamples;
 }
 
-bool interference_model::Known(class_index victim,
-                               class_index neighbour,
-                               boot_time now) const {
-  const auto* pair = Find(victim, neighbour);
-  return pair != nullptr && Aged(*pair, now) >= kKnownSamples;
+void interference_model::Age(boot_time now) {
+  for (auto& row : rows_) {
+    for (auto& pair : row) {
+      Blend(pair, now);
+    }
+  }
 }
 
 interference_model::pair_entry& interference_model::At(class_index victim,
@@ -87,13 +84,4 @@
   return row[neighbour];
 }
 
-const interference_model::pair_entry* interference_model::Find(
-    class_index victim,
-    class_index neighbour) const {
-  if (victim >= rows_.size() || neighbour >= rows_[victim].size()) {
-    return nullptr;
-  }
-  return &rows_[victim][neighbour];
-}
-
 }  // namespace chiveglade::sched
--- a/src/sched/interference_model.h
+++ b/src/sched/interference_model.h
@@ -37,15 +37,28 @@
                double slowdown,
                boot_time now);
 
+  // Lets confidence decay to `now`. Called once a plan, so that the lookups
+  // below, of which a plan makes tens of thousands, compute nothing.
+  void Age(boot_time now);
+
   // Added slowdown per neighbour, a blend of prior and measurements.
-  double Effect(class_index victim, class_index neighbour, boot_time now) const;
+  double Effect(class_index victim, class_index neighbour) const {
+    const auto* pair = Find(victim, neighbour);
+    return pair == nullptr ? kPrior : pair->effect;
+  }
   // True if there are enough recent measurements of the pair.
-  bool Known(class_index victim, class_index neighbour, boot_time now) const;
+  bool Known(class_index victim, class_index neighbour) const {
+    const auto* pair = Find(victim, neighbour);
+    return pair != nullptr && pair->known;
+  }
 
   struct pair_entry {
     double mean = kPrior;
     double samples = 0;
     boot_time updated;
+    // As of the last Age or Observe.
+    double effect = kPrior;
+    bool known = false;
   };
   // Samples of a pair after ageing.
   static double Aged(const pair_entry& pair, boot_time now);
@@ -54,7 +67,12 @@
   pair_entry& At(class_index victim, class_index neighbour);
 
  private:
-  const pair_entry* Find(class_index victim, class_index neighbour) const;
+  const pair_entry* Find(class_index victim, class_index neighbour) const {
+    return victim < rows_.size() && neighbour < rows_[victim].size()
+               ? &rows_[victim][neighbour]
+               : nullptr;
+  }
+  static void Blend(pair_entry& pair, boot_time now);
 
   std::vector<std::vector<pair_entry>> rows_;
 };
--- a/src/sched/measurements.cc
+++ b/src/sched/measurements.cc
@@ -19,10 +19,16 @@
   return counts.emplace_back(neighbour_count{klass, 0});
 }
 
-resident* FindResident(vm_slot& slot, const state::attempt_id& attempt) {
-  for (auto& other : slot.residents) {
-    if (other.attempt == attempt) {
-      return &other;
+// Looks from `hint` on, since reports usually keep the order of residents.
+resident* FindResident(vm_slot& slot,
+                       const state::attempt_id& attempt,
+                       size_t& hint) {
+  const size_t count = slot.residents.size();
+  for (size_t i = 0; i < count; ++i) {
+    const size_t at = (hint + i) % count;
+    if (slot.residents[at].attempt == attempt) {
+      hint = at + 1;
+      return &slot.residents[at];
     }
   }
   return nullptr;
@@ -49,8 +55,9 @@
                              plan_draft& draft) {
   UpdateRecent(slot, entry.received);
   std::optional<double> worst;
+  size_t hint = 0;
   for (const auto& report : entry.report.attempts) {
-    auto* found = FindResident(slot, report.attempt);
+    auto* found = FindResident(slot, report.attempt, hint);
     if (found == nullptr) {
       continue;
     }
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -111,14 +111,14 @@
       best.why = best.slot == nullptr ? std::min(best.why, why) : best.why;
       continue;
     }
-    if (!Tolerable(request, slot, now)) {
+    if (!Tolerable(request, slot)) {
       best.why = best.slot == nullptr
                      ? std::min(best.why, obstacle::kInterference)
                      : best.why;
       continue;
     }
     ++seen;
-    const double score = Score(request, slot, now);
+    const double score = Score(request, slot);
     if (best.slot == nullptr || score < best_score) {
       best = {&slot, obstacle::kNone};
       best_score = score;
@@ -185,22 +185,19 @@
          index_.RampAllows(slot.data_centre, spec.per_task);
 }
 
-bool placement::TrialAllowed(class_index victim,
-                             const vm_slot& slot,
-                             boot_time now) const {
+bool placement::TrialAllowed(class_index victim, const vm_slot& slot) const {
   if (classes_.at(victim).slowdown_limit_pct <= options_.strict_limit_pct) {
     return false;
   }
   return std::none_of(slot.residents.begin(), slot.residents.end(),
                       [&](const resident& other) {
                         return !classes_.at(other.klass).latency_critical &&
-                               !model_.Known(victim, other.klass, now);
+                               !model_.Known(victim, other.klass);
                       });
 }
 
 bool placement::Tolerable(const placement_request& request,
                           const vm_slot& slot,
-                          boot_time now,
                           bool urgent) const {
   if (options_.interference == interference_rule::kIgnore ||
       options_.placement != placement_rule::kScored ||
@@ -212,14 +209,14 @@
     if (!victim_class.latency_critical) {
       continue;
     }
-    if (!model_.Known(victim.klass, request.klass, now) &&
-        !TrialAllowed(victim.klass, slot, now)) {
+    if (!model_.Known(victim.klass, request.klass) &&
+        !TrialAllowed(victim.klass, slot)) {
       return false;
     }
-    double slowdown = 1 + model_.Effect(victim.klass, request.klass, now);
+    double slowdown = 1 + model_.Effect(victim.klass, request.klass);
     for (const auto& other : slot.residents) {
       if (&other != &victim) {
-        slowdown += model_.Effect(victim.klass, other.klass, now);
+        slowdown += model_.Effect(victim.klass, other.klass);
       }
     }
     if (!urgent && slowdown * 100 > options_.placement_margin *
@@ -231,16 +228,15 @@
 }
 
 double placement::AddedSlowdown(const placement_request& request,
-                                const vm_slot& slot,
-                                boot_time now) const {
+                                const vm_slot& slot) const {
   const bool critical = classes_.at(request.klass).latency_critical;
   double added = 0;
   for (const auto& other : slot.residents) {
     if (classes_.at(other.klass).latency_critical) {
-      added += model_.Effect(other.klass, request.klass, now);
+      added += model_.Effect(other.klass, request.klass);
     }
     if (critical) {
-      added += model_.Effect(request.klass, other.klass, now);
+      added += model_.Effect(request.klass, other.klass);
     }
   }
   return added;
@@ -261,8 +257,7 @@
 }
 
 double placement::Score(const placement_request& request,
-                        const vm_slot& slot,
-                        boot_time now) const {
+                        const vm_slot& slot) const {
   const auto& free = index_.rooms()[index_.Position(slot)].free;
   const resources after = free - request.spec->per_task;
   const double cores = Left(after.millicores, slot.capacity.millicores);
@@ -280,7 +275,7 @@
              Left(free.accelerators, slot.capacity.accelerators);
   }
   if (options_.interference != interference_rule::kIgnore) {
-    score += kSlowdownWeight * AddedSlowdown(request, slot, now);
+    score += kSlowdownWeight * AddedSlowdown(request, slot);
   }
   return score + kSpreadWeight * SpreadPenalty(request, slot);
 }
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -70,7 +70,6 @@
   // slowdown is tolerated: the guard throttles it if it is real.
   bool Tolerable(const placement_request& request,
                  const vm_slot& slot,
-                 boot_time now,
                  bool urgent = false) const;
   // What the task needs on the VM by corrected demand, at most all of it.
   static resources Wanted(const placement_request& request,
@@ -84,15 +83,10 @@
                       const vm_slot& slot,
                       const vm_room& room);
   bool AllowedDataCentre(const state::job_spec& spec, uint16_t number) const;
-  bool TrialAllowed(class_index victim,
-                    const vm_slot& slot,
-                    boot_time now) const;
-  double Score(const placement_request& request,
-               const vm_slot& slot,
-               boot_time now) const;
+  bool TrialAllowed(class_index victim, const vm_slot& slot) const;
+  double Score(const placement_request& request, const vm_slot& slot) const;
   double AddedSlowdown(const placement_request& request,
-                       const vm_slot& slot,
-                       boot_time now) const;
+                       const vm_slot& slot) const;
   double SpreadPenalty(const placement_request& request,
                        const vm_slot& slot) const;
   placement_choice FirstFit(const placement_request& request, boot_time now);
--- a/src/sched/planner_impl.cc
+++ b/src/sched/planner_impl.cc
@@ -67,6 +67,7 @@
   starter_.Begin();
   holds_.Apply(draft, index_);
   guard_.Trim(index_);
+  interference_.Age(view.now);
   measurements_.Digest(index_, draft);
   health_.Run(draft, index_);
   parking_.Run(index_, order_, draft);
--- a/src/sched/preemption.cc
+++ b/src/sched/preemption.cc
@@ -101,11 +101,17 @@
   const size_t stride = places_.Stride();
   for (size_t i = 0; i < count && seen < options_.candidates; ++i) {
     position = (position + stride) % count;
+    const auto& room = index_.rooms()[position];
+    if (!room.startable ||
+        !FitsWithin(
+            amount,
+            room.reclaimable[static_cast<size_t>(request.spec->priority)])) {
+      continue;
+    }
     auto& slot = index_.slots()[position];
     obstacle why = obstacle::kNone;
-    if (!FitsWithin(amount, slot.capacity) ||
-        !places_.Permits(request, slot, draft.now(), why) ||
-        !places_.Tolerable(request, slot, draft.now(), urgent)) {
+    if (!places_.Permits(request, slot, draft.now(), why) ||
+        !places_.Tolerable(request, slot, urgent)) {
       continue;
     }
     auto victims = Victims(slot, amount, placement::Wanted(request, slot),
--- a/src/sched/starter.cc
+++ b/src/sched/starter.cc
@@ -15,7 +15,7 @@
 
 void starter::Begin() {
   spreads_.clear();
-  failed_.clear();
+  failed_.assign(with_.order.shapes(), obstacle::kNone);
   without_room_.clear();
 }
 
@@ -101,7 +101,7 @@
       continue;
     }
     const uint32_t index = *position++;
-    switch (TryTask(*offered->job, index, draft)) {
+    switch (TryTask(*offered, index, draft)) {
       case outcome::kStarted:
         with_.order.Charge(priority, with_.quotas);
         break;
@@ -114,9 +114,15 @@
   }
 }
 
-starter::outcome starter::TryTask(const state::job& job,
+starter::outcome starter::TryTask(const pending_job& offered,
                                   uint32_t index,
                                   plan_draft& draft) {
+  const auto& job = *offered.job;
+  // A search that failed without limits of the job's own fails with them.
+  if (failed_[offered.shape] != obstacle::kNone) {
+    draft.Explain(job.spec.name, ToString(failed_[offered.shape]));
+    return outcome::kSkipJob;
+  }
   const state::task_id id{job.spec.name, index};
   if (!draft.CanStart(id) || with_.holds.Find(id) != nullptr) {
     return outcome::kSkipTask;
@@ -125,14 +131,9 @@
     return outcome::kSkipJob;
   }
   const auto request = Request(job, index);
-  // Tasks with a spread or with VMs to avoid differ from all others.
-  const bool alike = request.spread == nullptr &&
-                     request.failed_on == nullptr && job.spec.max_per_vm == 0;
-  const auto key = alike ? SearchKey(job.spec) : std::string();
-  if (const auto it = failed_.find(key); alike && it != failed_.end()) {
-    draft.Explain(job.spec.name, ToString(it->second));
-    return outcome::kSkipJob;
-  }
+  const bool no_limits = request.spread == nullptr &&
+                         request.failed_on == nullptr &&
+                         job.spec.max_per_vm == 0;
   const auto choice = with_.places.Choose(request, draft.now());
   if (choice.slot != nullptr) {
     Grant(*choice.slot, job, index, draft);
@@ -144,10 +145,10 @@
     return outcome::kSkipTask;
   }
   if (choice.why == obstacle::kNoRoom) {
-    without_room_.push_back(id);
+    without_room_.push_back({&job, index});
   }
-  if (alike) {
-    failed_.emplace(key, choice.why);
+  if (no_limits) {
+    failed_[offered.shape] = choice.why;
   }
   draft.Explain(job.spec.name, ToString(choice.why));
   return request.failed_on != nullptr ? outcome::kSkipTask : outcome::kSkipJob;
@@ -228,20 +229,4 @@
   return it->second;
 }
 
-std::string starter::SearchKey(const state::job_spec& spec) const {
-  std::string key = spec.klass;
-  key += '/';
-  key += std::to_string(static_cast<int>(spec.priority));
-  for (const auto amount : {spec.per_task.millicores, spec.per_task.memory_mib,
-                            spec.per_task.accelerators}) {
-    key += '/';
-    key += std::to_string(amount);
-  }
-  for (const auto& name : spec.data_centres) {
-    key += '/';
-    key += name;
-  }
-  return key;
-}
-
 }  // namespace chiveglade::sched
--- a/src/sched/starter.h
+++ b/src/sched/starter.h
@@ -55,10 +55,13 @@
   boot_time PendingSince(const std::string& job) const {
     return with_.order.Since(job);
   }
-  // Tasks that found no room in the last Run, one per job.
-  const std::vector<state::task_id>& without_room() const {
-    return without_room_;
-  }
+  // A pending task that no VM had room for. Valid during the plan.
+  struct roomless {
+    const state::job* job = nullptr;
+    uint32_t index = 0;
+  };
+  // Tasks that found no room in the last Run, one per shape of job.
+  const std::vector<roomless>& without_room() const { return without_room_; }
 
  private:
   void StartHeld(plan_draft& draft);
@@ -66,20 +69,21 @@
   void RunBand(state::band priority, plan_draft& draft);
   // What became of one offer of a job.
   enum class outcome : uint8_t { kStarted, kSkipTask, kSkipJob };
-  outcome TryTask(const state::job& job, uint32_t index, plan_draft& draft);
+  outcome TryTask(const pending_job& offered,
+                  uint32_t index,
+                  plan_draft& draft);
   bool QuotaAllows(const state::job& job, plan_draft& draft);
   void Grant(vm_slot& slot,
              const state::job& job,
              uint32_t index,
              plan_draft& draft);
   job_spread& SpreadOf(const state::job& job);
-  std::string SearchKey(const state::job_spec& spec) const;
 
   parts with_;
   std::unordered_map<std::string, job_spread> spreads_;
-  // Searches that failed in this plan, by everything the result depends on.
-  std::unordered_map<std::string, obstacle> failed_;
-  std::vector<state::task_id> without_room_;
+  // Searches that failed in this plan, by shape; kNone: not tried.
+  std::vector<obstacle> failed_;
+  std::vector<roomless> without_room_;
 };
 
 }  // namespace chiveglade::sched
--- a/src/sched/vm_index.cc
+++ b/src/sched/vm_index.cc
@@ -49,6 +49,7 @@
     slot.drained = state.drained().contains(name);
     slot.quarantined = state.quarantined().contains(name);
     auto& data_centre = data_centres_[slot.data_centre];
+    const bool had_hold = slot.held != resources{};
     slot.startable = !slot.drained && !slot.quarantined &&
                      data_centre.phase != data_centre_phase::kOut &&
                      !view.silent.contains(name);
@@ -57,7 +58,11 @@
     data_centre.capacity += slot.capacity;
     data_centre.committed += slot.committed;
     largest_ = Largest(largest_, slot.capacity);
-    Refresh(slot);
+    if (slot.stale || had_hold) {
+      slot.stale = false;
+      Refresh(slot);
+    }
+    rooms_[Position(slot)].startable = slot.startable;
   }
 }
 
@@ -82,6 +87,9 @@
   }
   slots_ = std::move(fresh);
   rooms_.assign(slots_.size(), {});
+  for (auto& slot : slots_) {
+    slot.stale = true;
+  }
   by_name_.clear();
   for (size_t i = 0; i < slots_.size(); ++i) {
     by_name_.emplace(slots_[i].name, i);
@@ -140,6 +148,7 @@
   slot.committed = vm.committed;
   slot.expected = {};
   slot.dirty = false;
+  slot.stale = true;
   const std::vector<resident> before = std::move(slot.residents);
   slot.residents.clear();
   slot.residents.reserve(vm.tasks.size());
@@ -209,6 +218,18 @@
       slot.capacity - slot.held - Largest(slot.committed, slot.expected);
   room.data_centre = slot.data_centre;
   room.startable = slot.startable;
+  const resources unused = slot.capacity - slot.held - slot.committed;
+  for (auto& most : room.reclaimable) {
+    most = unused;
+  }
+  for (const auto& other : slot.residents) {
+    const auto band = static_cast<size_t>(other.priority);
+    for (size_t taker = 0; taker < 3; ++taker) {
+      if (other.stopping || band > taker) {
+        room.reclaimable[taker] += other.declared;
+      }
+    }
+  }
 }
 
 bool vm_index::RampAllows(uint16_t data_centre, const resources& amount) const {
--- a/src/sched/vm_index.h
+++ b/src/sched/vm_index.h
@@ -47,6 +47,7 @@
   bool quarantined = false;
   bool reserved = false;  // by backfill: only idle work may start
   bool dirty = true;      // residents must be read again
+  bool stale = true;      // the packed room must be computed again
 };
 
 // The part of a slot that a search looks at first, packed for speed.
@@ -54,6 +55,9 @@
   resources free{};  // by declaration and by corrected demand
   uint16_t data_centre = 0;
   bool startable = false;
+  // Most that evictions could leave free for the bands service, urgent and
+  // normal, by declaration.
+  resources reclaimable[3]{};
 };
 
 struct data_centre_slot {
--- a/tests/sched/models_test.cc
+++ b/tests/sched/models_test.cc
@@ -107,9 +107,8 @@
   const class_index service = 0;
   const class_index heavy = 1;
   const class_index light = 2;
-  CHECK_FALSE(model.Known(service, heavy, At(0)));
-  CHECK(model.Effect(service, heavy, At(0)) ==
-        Approx(interference_model::kPrior));
+  CHECK_FALSE(model.Known(service, heavy));
+  CHECK(model.Effect(service, heavy) == Approx(interference_model::kPrior));
   for (int i = 0; i < 300; ++i) {
     const neighbour_count mixes[3][2] = {{{heavy, 1}, {light, 0}},
                                          {{heavy, 0}, {light, 2}},
@@ -117,11 +116,11 @@
     const double slow[3] = {1.3, 1.02, 1.31};
     model.Observe(service, mixes[i % 3], slow[i % 3], At(i));
   }
-  CHECK(model.Known(service, heavy, At(300)));
-  CHECK(model.Effect(service, heavy, At(300)) == Approx(0.3).margin(0.03));
-  CHECK(model.Effect(service, light, At(300)) == Approx(0.01).margin(0.02));
+  CHECK(model.Known(service, heavy));
+  CHECK(model.Effect(service, heavy) == Approx(0.3).margin(0.03));
+  CHECK(model.Effect(service, light) == Approx(0.01).margin(0.02));
   // The other direction was not measured.
-  CHECK_FALSE(model.Known(heavy, service, At(300)));
+  CHECK_FALSE(model.Known(heavy, service));
 }
 
 // Guards against acting for ever on measurements of a load that is gone.
@@ -131,11 +130,11 @@
   for (int i = 0; i < 100; ++i) {
     model.Observe(0, one, 1.5, At(i));
   }
-  CHECK(model.Effect(0, 1, At(100)) > 0.4);
+  CHECK(model.Effect(0, 1) > 0.4);
   const auto next_day = At(24 * 3'600'000LL);
-  CHECK_FALSE(model.Known(0, 1, next_day));
-  CHECK(model.Effect(0, 1, next_day) ==
-        Approx(interference_model::kPrior).margin(0.01));
+  model.Age(next_day);
+  CHECK_FALSE(model.Known(0, 1));
+  CHECK(model.Effect(0, 1) == Approx(interference_model::kPrior).margin(0.01));
 }
 
 }  // namespace chiveglade::sched
