Bind the entry to the store adapters

Cause: the adapters' hooks are thread-safe and take their callbacks' executor, so the wrapper that moved calls to a strand is not needed. Change: MakeStore uses them; the wrapper is gone.

--- a/src/app/entry_role.cc
+++ b/src/app/entry_role.cc
@@ -33,31 +33,15 @@
   return int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000;
 }
 
-// The same hooks, callable from any thread: calls are made on `on`.
-store::table_service OnStrand(const strand& on, store::table_service inner) {
-  auto shared = std::make_shared<store::table_service>(std::move(inner));
-  store::table_service out;
-  out.read = [on, shared](std::string key, store::read_callback then) {
-    net::asio::post(
-        on, [shared, key = std::move(key), then = std::move(then)]() mutable {
-          shared->read(std::move(key), std::move(then));
-        });
-  };
-  out.scan = [on, shared](std::string prefix, size_t limit,
-                          store::scan_callback then) {
-    net::asio::post(on, [shared, prefix = std::move(prefix), limit,
-                         then = std::move(then)]() mutable {
-      shared->scan(std::move(prefix), limit, std::move(then));
-    });
-  };
-  out.commit = [on, shared](store::transaction change,
-                            store::commit_callback then) {
-    net::asio::post(on, [shared, change = std::move(change),
-                         then = std::move(then)]() mutable {
-      shared->commit(std::move(change), std::move(then));
-    });
-  };
-  return out;
+store::http_store_options StoreOptions(
+    const std::vector<config::endpoint>& endpoints,
+    millis timeout) {
+  store::http_store_options options;
+  for (const auto& at : endpoints) {
+    options.endpoints.push_back({at.ip, at.port});
+  }
+  options.call_timeout = timeout;
+  return options;
 }
 
 }  // namespace
@@ -86,14 +70,15 @@
 
 result<done> entry_role::parts::MakeStore() {
   const auto& settings = context.settings;
-  auto table = store::MakeHttpTable(loop, context.control, settings.table,
-                                    {.timeout = settings.store_timeout});
+  auto table = store::MakeHttpTable(
+      loop, context.control,
+      StoreOptions(settings.table, settings.store_timeout));
   if (!table) {
     return table.last_reason();
   }
-  auto objects =
-      store::MakeHttpObjectStore(loop, context.control, settings.object_store,
-                                 {.timeout = settings.store_timeout});
+  auto objects = store::MakeHttpObjectStore(
+      loop, context.control,
+      StoreOptions(settings.object_store, settings.store_timeout));
   if (!objects) {
     return objects.last_reason();
   }
@@ -155,7 +140,7 @@
   claim_limits.entry = settings.name;
   claims = routing::claim_book::Make(
       claim_limits,
-      {OnStrand(context.control, context.table), context.clock, &UnixMillis,
+      {context.table, context.clock, &UnixMillis,
        context.random, [this](millis wait, std::function<void()> then) {
          auto timer = std::make_shared<net::asio::steady_timer>(loop, wait);
          timer->async_wait([timer, then = std::move(then)](
