--- a/include/chiveglade/net/http_server.h
+++ b/include/chiveglade/net/http_server.h
@@ -27,7 +27,8 @@
 };
 
 // Runs in the coroutine of the connection, which has a strand of its own, so
-// requests of one connection are answered one after the other.
+// requests of one connection are answered one after the other. A reply with
+// status 0 closes the connection without an answer.
 using http_handler = std::function<http_reply(const http_request&, yield)>;
 
 // Listens until stopped. A request outside the limits is answered with a JSON
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -68,7 +68,7 @@
     }
     const auto reply = Handle(request, yield);
     const bool keep_alive = request.get().keep_alive() && !finishing_;
-    if (!Write(reply, keep_alive, yield) || !keep_alive) {
+    if (reply.status == 0 || !Write(reply, keep_alive, yield) || !keep_alive) {
       break;
     }
   }
