--- a/src/app/agent_role.cc
+++ b/src/app/agent_role.cc
@@ -157,6 +157,10 @@
         }
         const auto fetched = FetchManifest(*client, yield);
         if (!fetched) {
+          observe::LogWarning("manifest_not_fetched",
+                              {{"from", address},
+                               {"reason", fetched.last_reason().code},
+                               {"detail", fetched.last_reason().detail}});
           return;
         }
         {
--- a/src/app/manifest_fetch.cc
+++ b/src/app/manifest_fetch.cc
@@ -11,6 +11,13 @@
 
 }  // namespace
 
+net::header_list PeerGet(const std::string& path) {
+  return {{":method", "GET"},
+          {":scheme", "http"},
+          {":authority", "chiveglade"},
+          {":path", path}};
+}
+
 void Reply(net::h2_stream& stream,
            int status,
            const net::header_list& headers,
@@ -25,9 +32,9 @@
 }
 
 result<held_manifest> FetchManifest(net::h2_client& peer, net::yield yield) {
-  const auto reply = net::Exchange(
-      peer, {{":method", "GET"}, {":scheme", "http"}, {":path", kManifestPath}},
-      "", config::kMaxManifestBytes, kFetchTimeout, yield);
+  const auto reply =
+      net::Exchange(peer, PeerGet(kManifestPath), "", config::kMaxManifestBytes,
+                    kFetchTimeout, yield);
   if (!reply) {
     return reply.last_reason();
   }
--- a/src/app/manifest_fetch.h
+++ b/src/app/manifest_fetch.h
@@ -31,6 +31,10 @@
                    net::h2_stream& stream,
                    net::yield yield);
 
+// The header fields of a GET to another process of the system. The peer is
+// known by its connection, so the authority is a fixed word.
+net::header_list PeerGet(const std::string& path);
+
 // Sends a whole answer.
 void Reply(net::h2_stream& stream,
            int status,
