--- a/src/net/h2_session.cc
+++ b/src/net/h2_session.cc
@@ -396,7 +396,11 @@
 
 void h2_session::OnRequest(int32_t id) {
   const auto stream = streams_.at(id);
-  if (stream->header_limit_exceeded) {
+  if (goaway_sent_) {
+    // The GOAWAY, which may still be queued, names a lower last stream and so
+    // says that this one has not run.
+    Refuse(stream);
+  } else if (stream->header_limit_exceeded) {
     RefuseHeaders(*stream);
   } else {
     on_request_(stream);
--- a/tests/store/http_store_test.cc
+++ b/tests/store/http_store_test.cc
@@ -55,27 +55,27 @@
 
   commit_outcome Commit(const transaction& change) {
     std::promise<commit_outcome> out;
-    table_.commit(change, [&](commit_outcome in) { out.set_value(in); });
+    table_.commit(change, [&](const commit_outcome& in) { out.set_value(in); });
     return out.get_future().get();
   }
   result<std::optional<row>> Read(const std::string& key) {
     std::promise<result<std::optional<row>>> out;
-    table_.read(key, [&](auto in) { out.set_value(in); });
+    table_.read(key, [&](const auto& in) { out.set_value(in); });
     return out.get_future().get();
   }
   result<std::vector<row>> Scan(const std::string& prefix, size_t limit) {
     std::promise<result<std::vector<row>>> out;
-    table_.scan(prefix, limit, [&](auto in) { out.set_value(in); });
+    table_.scan(prefix, limit, [&](const auto& in) { out.set_value(in); });
     return out.get_future().get();
   }
   result<done> Put(const std::string& key, const std::string& bytes) {
     std::promise<result<done>> out;
-    objects_.put(key, bytes, [&](auto in) { out.set_value(in); });
+    objects_.put(key, bytes, [&](const auto& in) { out.set_value(in); });
     return out.get_future().get();
   }
   result<std::optional<std::string>> GetObject(const std::string& key) {
     std::promise<result<std::optional<std::string>>> out;
-    objects_.get(key, [&](auto in) { out.set_value(in); });
+    objects_.get(key, [&](const auto& in) { out.set_value(in); });
     return out.get_future().get();
   }
 
