--- a/include/chiveglade/routing/request_front.h
+++ b/include/chiveglade/routing/request_front.h
@@ -28,13 +28,18 @@
   uint32_t open_requests = 4'096;  // forwarded at once
   size_t max_header_bytes = 16'384;
   size_t max_body_bytes = 67'108'864;
-  // Body of a request with a claim, which is held in memory to be hashed...
+  // Body of a request with a claim, which is held in memory to be hashed.
   size_t max_claimed_body_bytes = 4'194'304;
-  // ...and of all such requests together.
-  size_t max_claimed_bytes = 67'108'864;
-  // Start of a body that is held to be sent again to another target. A request
-  // whose body is longer is not retried once more of it has been read.
-  size_t replay_bytes = 16'384;
+  // Start of any other body that is held to be sent again to another target. A
+  // request whose body is longer is not retried once more of it has been read.
+  // This is above the flow-control window of a stream (64 KiB), so that more is
+  // read only after the agent has taken some of it, which it does not do before
+  // the request has a slot: an agent that is full or leaving refuses earlier.
+  size_t replay_bytes = 81'920;
+  // All bodies that are held. Beyond it, requests with a claim are refused and
+  // of others only `least_replay_bytes` are held.
+  size_t max_held_bytes = 67'108'864;
+  size_t least_replay_bytes = 8'192;
   uint32_t other_targets = 2;  // tried after the first
   millis longest_deadline{3'600'000};
   millis idle_timeout{60'000};   // for the next request of a connection
--- a/src/routing/forwarder.cc
+++ b/src/routing/forwarder.cc
@@ -151,6 +151,14 @@
 forwarder::refused forwarder::ReadStart(const net::yield& yield) {
   const auto& options = front_.options();
   if (key_.empty()) {
+    const size_t wanted =
+        std::min<uint64_t>(caller_.content_length().value_or(
+                               caller_.body_done() ? 0 : options.replay_bytes),
+                           options.replay_bytes);
+    if (wanted <= options.least_replay_bytes || !front_.ReserveBody(wanted)) {
+      return ReadUpTo(options.least_replay_bytes, yield);
+    }
+    reserved_ = wanted;
     return ReadUpTo(options.replay_bytes, yield);
   }
   const auto declared =
--- a/src/routing/front_state.cc
+++ b/src/routing/front_state.cc
@@ -101,10 +101,10 @@
 }
 
 bool front_state::ReserveBody(size_t bytes) {
-  if (claimed_bytes_.fetch_add(bytes) + bytes <= options_.max_claimed_bytes) {
+  if (held_bytes_.fetch_add(bytes) + bytes <= options_.max_held_bytes) {
     return true;
   }
-  claimed_bytes_ -= bytes;
+  held_bytes_ -= bytes;
   return false;
 }
 
--- a/src/routing/front_state.h
+++ b/src/routing/front_state.h
@@ -41,9 +41,9 @@
   void CloseRequest() { --open_; }
   uint32_t open_requests() const { return open_; }
 
-  // Reserves memory for a claimed request's body; false at the limit.
+  // Reserves memory for the body of a request; false at the limit.
   bool ReserveBody(size_t bytes);
-  void ReleaseBody(size_t bytes) { claimed_bytes_ -= bytes; }
+  void ReleaseBody(size_t bytes) { held_bytes_ -= bytes; }
 
   std::atomic<bool> draining{false};
 
@@ -61,7 +61,7 @@
   std::mutex addresses_mutex_;
   std::set<std::string> addresses_;  // keys of `agents_`
   std::atomic<uint32_t> open_{0};
-  std::atomic<size_t> claimed_bytes_{0};
+  std::atomic<size_t> held_bytes_{0};
 };
 
 }  // namespace chiveglade::routing
--- a/tests/routing/request_front_test.cc
+++ b/tests/routing/request_front_test.cc
@@ -272,6 +272,40 @@
   });
 }
 
+// Guards against a request that fails during a planned stop only because its
+// body is too long to be held (invariant 9).
+TEST_CASE_METHOD(front_fixture, "long requests refused in time are retried") {
+  int refusals = 2;
+  const auto echo = agent;
+  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+    if (refusals-- <= 0) {
+      echo(stream, yield);
+      return;
+    }
+    for (int i = 0; i < 100; ++i) {
+      net::asio::post(loop, yield);
+    }
+    AnswerWith(
+        *stream, "503",
+        {{"chiveglade-verdict", "not_run"}, {"chiveglade-reason", "leaving"}},
+        "", yield);
+  };
+  const std::string body(1'000'000, 'q');
+  Run([&](net::yield yield) {
+    const auto answer = Post("/x", body, "", yield);
+    CHECK(Says(answer, "200"));
+    CHECK(std::count(answer.begin(), answer.end(), 'q') >= 1'000'000);
+  });
+  CHECK(records.at(0).tries == 3);
+  // More of the body than is held was read before the refusal came.
+  options.replay_bytes = 16'384;
+  refusals = 1;
+  loop.restart();
+  Run([&](net::yield yield) {
+    CHECK(Says(Post("/x", body, "", yield), "503", "not_run", "leaving"));
+  });
+}
+
 // Guards against a caller that stops reading or sending and holds memory and a
 // target for ever.
 TEST_CASE_METHOD(front_fixture, "stopped callers are given up") {
--- a/tests/routing/routing_fixture.h
+++ b/tests/routing/routing_fixture.h
@@ -11,26 +11,12 @@
 #include <vector>
 
 #include "chiveglade/routing/request_front.h"
+#include "tests/routing/example_manifest.h"
 #include "tests/routing/memory_h2.h"
 #include "tests/support/memory_store.h"
 
 namespace chiveglade::routing {
 
-// GET is idempotent and POST is not; /archive has a class of its own.
-inline config::manifest ExampleManifest() {
-  config::manifest out;
-  config::service_spec service;
-  service.name = "s";
-  service.tenant = "t";
-  out.services = {service};
-  out.request_classes = {{"normal", 1},
-                         {"archive", 5, 100, millis(10'000), 50}};
-  out.routes = {{"/", "", "s", "normal", true},
-                {"/", "POST", "s", "normal", false},
-                {"/archive", "", "s", "archive", true}};
-  return out;
-}
-
 // Reads the whole body of a stream.
 inline std::string ReadAll(net::h2_stream& stream, net::yield yield) {
   std::string out;
--- a/tools/load/load_report.cc
+++ b/tools/load/load_report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace chiveglade::load {
 
@@ -65,7 +66,9 @@
     const auto summary = figures.latency->Collect().summary;
     at["count"] = summary.sample_count;
     for (const auto& each : summary.quantile) {
-      at["p" + nlohmann::json(each.quantile * 100).dump()] = each.value;
+      std::ostringstream name;
+      name << 'p' << each.quantile * 100;
+      at[name.str()] = each.value;
     }
     at["max"] = figures.longest.count();
   }
