Add the fault matrix of schedulers, agents, workers, store and network

Cause: invariants have to hold for each fault at each step of the protocol, not only for the cases that somebody thought of.

Change: tests/matrix runs two entries and three VMs with agent_core and the fake worker over memory_store under one manual clock, injects each of 26 faults at each of 13 steps, with the first-fit and the real planner, and checks the invariants after every event. A failing cell prints the command that repeats it.

Ruled out: random faults alone; a cell that fails must be repeatable by name.

--- /dev/null
+++ b/tests/matrix/matrix_test.cc
@@ -0,0 +1,62 @@
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "tests/matrix/matrix_world.h"
+
+namespace chiveglade::testing {
+
+namespace {
+
+// Runs one cell; returns false and prints how to repeat it if it failed.
+bool RunCell(const std::string& planner,
+             const std::string& fault,
+             size_t step,
+             size_t& injected) {
+  matrix_world world(planner == "scored");
+  world.Inject(fault, static_cast<matrix_step>(step));
+  world.Run();
+  injected += world.injected() ? 1 : 0;
+  if (world.problem().empty() && world.starts() >= 10) {
+    return true;
+  }
+  const std::string cell = planner + ":" + fault + ":" + kMatrixSteps[step];
+  std::cout << "cell " << cell << ": " << world.problem() << "\n  repeat with: "
+            << "CHIVEGLADE_CELL=" << cell
+            << " build/tests/matrix/matrix_test\n";
+  return false;
+}
+
+}  // namespace
+
+// Guards against any single fault, at any step of the protocol, that breaks an
+// invariant: a VM beyond its capacity, a task in two places, an attempt that
+// starts twice, a start more than 3 s after a data centre was taken out, or
+// work that is never finished.
+TEST_CASE("every fault at every protocol step leaves the invariants intact") {
+  const char* const chosen = std::getenv("CHIVEGLADE_CELL");
+  size_t cells = 0;
+  size_t failed = 0;
+  size_t injected = 0;
+  for (const std::string planner : {"first_fit", "scored"}) {
+    for (const auto& fault : MatrixFaults()) {
+      for (size_t step = 0; step < kMatrixSteps.size(); ++step) {
+        if (chosen && planner + ":" + fault + ":" + kMatrixSteps[step] !=
+                          std::string(chosen)) {
+          continue;
+        }
+        ++cells;
+        failed += RunCell(planner, fault, step, injected) ? 0 : 1;
+      }
+    }
+  }
+  std::cout << "matrix: " << cells << " cells, fault injected in " << injected
+            << ", failed " << failed << "\n";
+  CHECK(failed == 0);
+  CHECK(cells > 0);
+  // A step that is never reached tests nothing.
+  CHECK(injected == cells);
+}
+
+}  // namespace chiveglade::testing
--- /dev/null
+++ b/tests/matrix/matrix_world.h
@@ -0,0 +1,151 @@
+// Two schedulers, three VMs with agents and workers, a store and a network,
+// under one manual clock, with one fault injected at one protocol step.
+#ifndef CHIVEGLADE_TESTS_MATRIX_MATRIX_WORLD_H_
+#define CHIVEGLADE_TESTS_MATRIX_MATRIX_WORLD_H_
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chiveglade/agent/agent_core.h"
+#include "chiveglade/authority/scheduler.h"
+#include "chiveglade/core/random.h"
+#include "tests/agent/fake_worker.h"
+#include "tests/support/memory_store.h"
+
+namespace chiveglade::testing {
+
+// Moments of the protocol at which a fault can set in.
+enum class matrix_step {
+  kStart,
+  kFirstHeartbeat,
+  kSubmitted,
+  kGrantAppend,
+  kStartOrder,
+  kStartCall,
+  kRunningReported,
+  kDataCentreOut,
+  kStopOrder,
+  kEndReported,
+  kEndAcknowledged,
+  kDataCentreReturn,
+  kSnapshot,
+  kNever,  // no fault
+};
+inline constexpr std::array kMatrixSteps = {
+    "start",       "first_heartbeat", "submitted",        "grant_append",
+    "start_order", "start_call",      "running_reported", "data_centre_out",
+    "stop_order",  "end_reported",    "end_acknowledged", "data_centre_return",
+    "snapshot"};
+
+class matrix_world {
+ public:
+  explicit matrix_world(bool scored_planner);
+
+  // A fault by name: begins at the step and ends by itself. Names are those of
+  // matrix_faults().
+  void Inject(const std::string& fault, matrix_step at);
+
+  // Runs the script: submit, take dc2 out, return it, until all work is done.
+  void Run();
+
+  // The first broken invariant; empty if none.
+  const std::string& problem() const { return problem_; }
+  bool injected() const { return injected_; }
+  // Attempts that ran, to see that a run did anything.
+  size_t starts() const { return started_.size(); }
+
+ private:
+  struct vm_process {
+    std::string name;
+    std::string data_centre;
+    double clock_rate = 1.0;
+    std::unique_ptr<agent::agent_core> core;
+    std::unique_ptr<fake_worker> worker;
+    uint64_t process = 1;
+    boot_time next_beat{};
+    boot_time dead_until{};    // the whole VM
+    boot_time frozen_until{};  // the agent process alone
+    boot_time cut_off_until{};
+    std::set<state::attempt_id> known;  // starts that were checked
+  };
+  struct message {
+    boot_time at;
+    uint64_t order = 0;
+    std::function<void()> deliver;
+  };
+  friend struct matrix_faults_table;
+
+  void AddEntry(const std::string& name);
+  void StartAgent(vm_process& vm);
+  void RestartVm(vm_process& vm);
+  boot_time Local(const vm_process& vm) const;
+  void Reached(matrix_step step);
+  void Step();
+  void Script();
+  void TickEntries();
+  void TickVm(vm_process& vm);
+  void SendBeats(vm_process& vm);
+  void Deliver();
+  void Post(vm_process& vm, const std::function<void()>& deliver);
+  void OnBeat(vm_process& vm,
+              const std::string& entry,
+              const state::heartbeat& beat);
+  void OnAnswer(vm_process& vm,
+                uint64_t process,
+                const state::heartbeat& beat,
+                const state::heartbeat_answer& answer);
+  void Execute(vm_process& vm, const agent::worker_call& call);
+  void FinishWork(vm_process& vm);
+  void Check();
+  void CheckStart(vm_process& vm, const state::attempt_id& attempt);
+  void CheckEnd();
+  bool AllDone();
+  void ChangeDataCentre(bool out);
+  void Fail(const std::string& what);
+  authority::scheduler* holder();
+  // Applies the fault to every store call until `until`.
+  void StoreFault(store_fault fault, bool commits_only, millis length);
+  void At(boot_time when, std::function<void()> then);
+
+  boot_time now_{millis(10'000'000)};
+  boot_time began_ = now_;
+  random_engine random_{20261204};
+  bool scored_;
+  memory_store store_;
+  config::manifest manifest_;
+  std::map<std::string, std::unique_ptr<authority::scheduler>> entries_;
+  std::map<std::string, boot_time> paused_until_;
+  std::vector<std::unique_ptr<vm_process>> vms_;
+  std::vector<message> network_;
+  uint64_t message_order_ = 0;
+  std::multimap<boot_time, std::function<void()>> timers_;
+
+  std::string fault_;
+  matrix_step fault_step_ = matrix_step::kNever;
+  bool injected_ = false;
+  bool commit_reached_ = false;
+  // Network faults in force.
+  boot_time drop_until_{}, drop_answers_until_{}, delay_until_{},
+      double_until_{};
+  boot_time worker_lost_until_{}, worker_unreachable_until_{};
+
+  int script_ = 0;
+  std::optional<boot_time> out_since_;
+  boot_time out_retry_{};
+  uint64_t entry_number_ = 2;
+  std::map<state::attempt_id, std::string> started_;  // attempt -> VM
+  std::string problem_;
+};
+
+// Names of all faults.
+std::vector<std::string> MatrixFaults();
+
+}  // namespace chiveglade::testing
+
+#endif  // CHIVEGLADE_TESTS_MATRIX_MATRIX_WORLD_H_
