--- a/tests/authority/fault_test.cc
+++ b/tests/authority/fault_test.cc
@@ -208,6 +208,23 @@
   CHECK(world.Beat(world.vm, *world.holder()).unknown.size() == 1);
 }
 
+// Guards against a lease that is extended after its end was decided and before
+// the end is durable: the task would run on while it is granted elsewhere.
+TEST_CASE("no grant is given while an append that ends it is in flight") {
+  running_world world;
+  world.store.SetFaults(OnAppends(store_fault::kHold));
+  while (world.store.held() == 0) {
+    world.Pass(millis(50));
+  }
+  Send(world, WorkerGone("ann", "v1", 7, "r1"));
+  world.Pass(millis(300));
+  CHECK(world.holder()->OnHeartbeat(world.Message(world.vm)).grants);
+  world.store.ReleaseHeld();
+  world.Pass(millis(150));
+  REQUIRE(world.store.held() == 1);
+  CHECK_FALSE(world.holder()->OnHeartbeat(world.Message(world.vm)).grants);
+}
+
 // Guards against a VM that was declared gone and comes back to life.
 TEST_CASE("worker gone ends the attempts and refuses the incarnation") {
   running_world world;
--- a/tests/authority/scheduler_test.cc
+++ b/tests/authority/scheduler_test.cc
@@ -26,6 +26,7 @@
                                                      : store_fault::kNone;
   });
   world.Declare("a");
+  const int64_t before = world.Message(vm).tick;
   world.Pass(millis(500));
   CHECK(world.Beat(vm, entry).starts.empty());
   CHECK(world.store.held() == 1);
@@ -34,6 +35,10 @@
   const auto answer = world.Beat(vm, entry);
   REQUIRE(answer.starts.size() == 1);
   CHECK(answer.grants);
+  // A newer tick would let the start happen too long after the grant.
+  CHECK(answer.starts[0].tick <= before);
+  vm.running.clear();
+  CHECK(world.Beat(vm, entry).starts[0].tick == answer.starts[0].tick);
 }
 
 // Guards against a start that is confirmed too early, and an end that is
--- a/tests/matrix/matrix_faults.cc
+++ b/tests/matrix/matrix_faults.cc
@@ -46,6 +46,7 @@
   }
   static void Die(world& at, size_t vm, millis length) {
     auto& dead = *at.vms_[vm];
+    at.vm_lost_ = true;
     dead.dead_until = at.now_ + length;
     at.At(dead.dead_until, [&at, &dead] { at.RestartVm(dead); });
   }
@@ -118,6 +119,8 @@
          [](world& at) { at.vms_[0]->frozen_until = at.now_ + millis(8'000); }},
         {"vm_partitioned",
          [](world& at) {
+           // Longer than the run lease.
+           at.vm_lost_ = true;
            at.vms_[1]->cut_off_until = at.now_ + millis(40'000);
          }},
         {"messages_dropped",
--- a/tests/matrix/matrix_world.cc
+++ b/tests/matrix/matrix_world.cc
@@ -388,6 +388,7 @@
     if (attempt.task.job == "batch" &&
         Local(vm) >= vm.worker->history().at(attempt).started + kWork) {
       vm.worker->Finish(attempt, false, Local(vm));
+      finished_.insert(attempt.task);
     }
   }
 }
@@ -397,6 +398,9 @@
   if (!started_.emplace(attempt, vm.name).second) {
     Fail(Text(attempt) + " was started twice");
   }
+  if (finished_.contains(attempt.task) && !vm_lost_) {
+    Fail(Text(attempt) + " runs although its task has finished");
+  }
   if (vm.data_centre == "dc2" && out_since_ &&
       now_ > *out_since_ + kLatestStart) {
     Fail(Text(attempt) + " started in a data centre that is out");
--- a/tests/matrix/matrix_world.h
+++ b/tests/matrix/matrix_world.h
@@ -140,6 +140,8 @@
   boot_time out_retry_{};
   uint64_t entry_number_ = 2;
   std::map<state::attempt_id, std::string> started_;  // attempt -> VM
+  std::set<state::task_id> finished_;                 // at a worker
+  bool vm_lost_ = false;  // a VM's reports may be lost with it
   std::string problem_;
 };
 
