sched: compare the policy with baselines on a small interference model

Change: policy_bench with hidden pair slowdowns that shift with load, lagged reports, waves of noise and a departure; baselines in the same run; the rule kUnlearned, which throttles without knowledge of pairs.

--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,114 @@
+// Compares the scheduling policy with baselines on the same seeds. Prints mean
+// and standard deviation over the seeds of each figure. The first argument is
+// the number of seeds, 20 by default.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "bench/policy_model.h"
+
+namespace chiveglade::sched {
+namespace {
+
+struct policy {
+  const char* name;
+  placement_rule placement;
+  interference_rule interference;
+  bool batch = true;
+};
+
+constexpr policy kPolicies[] = {
+    {"services alone", placement_rule::kScored, interference_rule::kLearned,
+     false},
+    {"unprotected", placement_rule::kScored, interference_rule::kIgnore},
+    {"first fit", placement_rule::kFirstFit, interference_rule::kIgnore},
+    {"least loaded", placement_rule::kLeastLoaded, interference_rule::kIgnore},
+    {"no pair knowledge", placement_rule::kScored,
+     interference_rule::kUnlearned},
+    {"evict at once", placement_rule::kScored, interference_rule::kEvictAtOnce},
+    {"chiveglade", placement_rule::kScored, interference_rule::kLearned},
+};
+
+struct spread {
+  double mean = 0;
+  double deviation = 0;
+};
+
+spread Over(const std::vector<run_figures>& runs, double run_figures::*figure) {
+  spread result;
+  for (const auto& run : runs) {
+    result.mean += run.*figure / static_cast<double>(runs.size());
+  }
+  for (const auto& run : runs) {
+    result.deviation += std::pow(run.*figure - result.mean, 2) /
+                        static_cast<double>(runs.size());
+  }
+  result.deviation = std::sqrt(result.deviation);
+  return result;
+}
+
+std::vector<run_figures> RunSeeds(const policy& which, uint64_t seeds) {
+  std::vector<run_figures> runs;
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    planner_options options;
+    options.placement = which.placement;
+    options.interference = which.interference;
+    runs.push_back(policy_model(options, which.batch, seed * 7919).Run());
+  }
+  return runs;
+}
+
+void Print(const char* name, const std::vector<run_figures>& runs) {
+  std::printf("%-18s", name);
+  for (const auto figure :
+       {&run_figures::p99, &run_figures::throughput, &run_figures::evictions,
+        &run_figures::lost_pct, &run_figures::departing,
+        &run_figures::departing_lost_pct}) {
+    const auto [mean, deviation] = Over(runs, figure);
+    std::printf(" %8.2f +- %-6.2f", mean, deviation);
+  }
+  std::printf("\n");
+}
+
+void Goal(const char* name, double value, const char* limit, bool met) {
+  std::printf("%-48s %6.3f  %s  %s\n", name, value, limit,
+              met ? "met" : "MISSED");
+}
+
+void Main(uint64_t seeds) {
+  std::printf("%llu seeds, mean +- standard deviation\n",
+              static_cast<unsigned long long>(seeds));
+  std::printf("%-18s %18s %18s %18s %18s %18s %18s\n", "policy", "p99 slowdown",
+              "batch cores", "evictions", "lost %", "departing cores",
+              "departing lost %");
+  double alone = 0;
+  double unprotected = 0;
+  for (const auto& which : kPolicies) {
+    const auto runs = RunSeeds(which, seeds);
+    Print(which.name, runs);
+    const double p99 = Over(runs, &run_figures::p99).mean;
+    const double cores = Over(runs, &run_figures::throughput).mean;
+    alone = which.batch ? alone : p99;
+    if (std::string(which.name) == "unprotected") {
+      unprotected = cores;
+    }
+    if (std::string(which.name) == "chiveglade") {
+      const double lost = Over(runs, &run_figures::departing_lost_pct).mean;
+      Goal("service p99 over services alone", p99 / alone, "<= 1.2",
+           p99 <= 1.2 * alone);
+      Goal("batch throughput over unprotected", cores / unprotected, ">= 0.9",
+           cores >= 0.9 * unprotected);
+      Goal("batch work lost in the departure, %", lost, "< 2", lost < 2);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chiveglade::sched
+
+int main(int argc, char** argv) {
+  chiveglade::sched::Main(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20);
+  return 0;
+}
--- /dev/null
+++ b/bench/policy_model.h
@@ -0,0 +1,336 @@
+// A small model of interference for policy_bench: hidden slowdowns of pairs
+// that shift with load, lagged measurements and waves of noise. It plays the
+// agents' side of the planner's interface and simulates no network or store.
+#ifndef CHIVEGLADE_BENCH_POLICY_MODEL_H_
+#define CHIVEGLADE_BENCH_POLICY_MODEL_H_
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chiveglade/sched/planner.h"
+
+namespace chiveglade::sched {
+
+// What one run measured.
+struct run_figures {
+  double p99 = 0;         // of services' slowdown, 1 is undisturbed
+  double throughput = 0;  // batch cores' worth of work done, net of loss
+  double evictions = 0;   // stops of batch attempts
+  double lost_pct = 0;    // of all batch work, thrown away
+  double departing = 0;   // throughput while the data centre leaves, returns
+  double departing_lost_pct = 0;  // of the batch work of that time
+};
+
+class policy_model {
+ public:
+  static constexpr int kVms = 24;
+  static constexpr int kPlaces = 3;
+  static constexpr int kBatchClasses = 5;
+  static constexpr int64_t kStepMs = 500;
+  static constexpr int64_t kLengthMs = 900'000;
+  static constexpr int64_t kWarmUpMs = 60'000;
+  static constexpr int64_t kOutMs = 450'000;
+  static constexpr int64_t kBackMs = 600'000;
+  static constexpr int64_t kSettledMs = 720'000;
+
+  policy_model(planner_options options, bool batch, uint64_t seed)
+      : batch_(batch), world_(seed), policy_random_(seed + 1) {
+    planner_ = *planner::Make(options, [this] { return policy_random_(); });
+    MakeWorld();
+  }
+
+  run_figures Run() {
+    for (now_ = 0; now_ < kLengthMs; now_ += kStepMs) {
+      view_.now = boot_time(millis(1'000'000 + now_));
+      Operators();
+      if (batch_) {
+        Arrivals();
+      }
+      Execute();
+      if (now_ % 1'000 == 0) {
+        Report();
+      }
+      Plan();
+    }
+    return Figures();
+  }
+
+ private:
+  struct running {
+    state::attempt_id attempt;
+    std::string vm;
+    int klass = 0;        // 0 and 1: services; from 2: batch
+    double work_ms = 0;   // done, with the checkpoint's
+    double saved_ms = 0;  // in the checkpoint
+    double needed_ms = 0;
+    double speed = 1;
+    double lagged = 1;  // slowdown as reported
+    int64_t stop_at = -1;
+  };
+
+  double Uniform(double low, double high) {
+    return low + (high - low) * static_cast<double>(world_() >> 11) * 0x1p-53;
+  }
+  void Must(const state::event& change) {
+    if (const auto outcome = state_.Apply(change); !outcome) {
+      std::fprintf(stderr, "refused: %s\n",
+                   outcome.last_reason().detail.c_str());
+      std::abort();
+    }
+  }
+
+  // Each service suffers much from two batch classes and little from others.
+  void MakeWorld() {
+    config::manifest manifest;
+    manifest.tenants = {{"t", {10'000'000, 100'000'000, 0}}};
+    for (int i = 0; i < 2 + kBatchClasses; ++i) {
+      manifest.classes.push_back({.name = "c" + std::to_string(i),
+                                  .latency_critical = i < 2,
+                                  .slowdown_limit_pct = 120});
+    }
+    planner_->SetManifest(manifest);
+    for (int service = 0; service < 2; ++service) {
+      for (int i = 0; i < kBatchClasses; ++i) {
+        const bool bad = i / 2 == service;
+        pair_[service][i] = bad ? Uniform(0.04, 0.12) : Uniform(0, 0.006);
+      }
+    }
+    for (int i = 0; i < kVms; ++i) {
+      Must(state::vm_joined{{"vm" + std::to_string(i), 1},
+                            "dc" + std::to_string(i % kPlaces),
+                            "r" + std::to_string(i / 9),
+                            {32'000, 125'000, 0}});
+    }
+    for (int i = 0; i < 2; ++i) {
+      state::job_spec spec = Spec("service:" + std::to_string(i), i, 12);
+      spec.priority = state::band::kService;
+      spec.per_task = {8'000, 16'000, 0};
+      spec.max_per_vm = 1;
+      Must(state::job_submitted{spec});
+    }
+  }
+  static state::job_spec Spec(const std::string& name,
+                              int klass,
+                              uint32_t tasks) {
+    state::job_spec spec;
+    spec.name = name;
+    spec.tenant = "t";
+    spec.klass = "c" + std::to_string(klass);
+    spec.tasks = tasks;
+    spec.per_task = {2'000, 5'000, 0};
+    return spec;
+  }
+
+  void Operators() {
+    if (now_ == kOutMs) {
+      view_.data_centres["dc0"] = data_centre_phase::kOut;
+    } else if (now_ == kBackMs) {
+      view_.data_centres["dc0"] = data_centre_phase::kReturning;
+      view_.returned_at["dc0"] = view_.now;
+    } else if (now_ == kBackMs + 60'000) {
+      view_.data_centres.clear();
+    }
+  }
+
+  // About 5% more work than all VMs can hold beside the services. Declared run
+  // times are off by up to a factor of four.
+  void Arrivals() {
+    while (next_arrival_ <= now_) {
+      const int klass = 2 + static_cast<int>(world_() % kBatchClasses);
+      auto spec = Spec("b" + std::to_string(jobs_++), klass, 8);
+      const double run = Uniform(20'000, 100'000);
+      needed_[spec.name] = run;
+      spec.expected_run =
+          millis(static_cast<int64_t>(run * std::exp2(Uniform(-2, 2))));
+      Must(state::job_submitted{spec});
+      next_arrival_ += static_cast<int64_t>(Uniform(1'000, 2'175));
+    }
+    // Waves: one class is three times as noisy for a while.
+    if (now_ >= wave_ends_) {
+      noisy_ =
+          world_() % 3 == 0 ? static_cast<int>(world_() % kBatchClasses) : -1;
+      wave_ends_ = now_ + static_cast<int64_t>(Uniform(20'000, 60'000));
+    }
+  }
+
+  // Load follows a slow cycle with a step that comes without warning.
+  double Load() const {
+    const double cycle =
+        std::sin(static_cast<double>(now_) / kLengthMs * 12.566);
+    const double step = now_ % 300'000 > 200'000 ? 0.3 : 0;
+    return 0.75 + 0.2 * cycle + step;
+  }
+
+  double Slowdown(const running& service) {
+    double slow = 1 + 0.06 * std::abs(Uniform(-1, 1));
+    for (const auto& other : by_vm_[service.vm]) {
+      const auto& neighbour = live_.at(other);
+      if (neighbour.klass >= 2) {
+        const int klass = neighbour.klass - 2;
+        slow += pair_[service.klass][klass] * Load() * neighbour.speed *
+                (klass == noisy_ ? 3 : 1);
+      }
+    }
+    return slow;
+  }
+
+  void Execute() {
+    by_vm_.clear();
+    for (const auto& [id, one] : live_) {
+      by_vm_[one.vm].push_back(id);
+    }
+    std::vector<std::pair<state::task_id, state::attempt_end>> ends;
+    for (auto& [id, one] : live_) {
+      if (one.klass < 2) {
+        const double slow = Slowdown(one);
+        one.lagged += (slow - one.lagged) * kStepMs / 5'000.0;
+        if (now_ >= kWarmUpMs) {
+          samples_.push_back(slow);
+        }
+      } else {
+        const double work = one.speed * kStepMs;
+        one.work_ms += work;
+        Count(work);
+        if (one.work_ms >= one.needed_ms) {
+          ends.emplace_back(id, state::attempt_end::kFinished);
+          continue;
+        }
+      }
+      if (one.stop_at >= 0 && now_ >= one.stop_at) {
+        ends.emplace_back(id, state::attempt_end::kStopped);
+      }
+    }
+    for (const auto& [id, how] : ends) {
+      End(id, how);
+    }
+  }
+
+  // Net work; what is lost later is subtracted at that time.
+  void Count(double work) {
+    done_ += work;
+    if (now_ >= kOutMs && now_ < kSettledMs) {
+      departing_done_ += work;
+    }
+  }
+
+  // One checkpoint in twenty fails, and the work since the last one is lost.
+  void End(const state::task_id& id, state::attempt_end how) {
+    auto& one = live_.at(id);
+    state::attempt_ended end;
+    end.attempt = one.attempt;
+    end.how = how;
+    if (how == state::attempt_end::kStopped && one.klass >= 2) {
+      if (world_() % 20 != 0) {
+        one.saved_ms = one.work_ms;
+      }
+      end.checkpoint = "checkpoint";
+      end.work_done = millis(static_cast<int64_t>(one.saved_ms));
+      const double lost = one.work_ms - one.saved_ms;
+      lost_ += lost;
+      departing_lost_ += now_ >= kOutMs && now_ < kSettledMs ? lost : 0;
+      Count(-lost);
+    }
+    planner_->ObserveEnd(end, one.vm, state_.FindJob(id.job)->spec, view_.now);
+    Must(end);
+    live_.erase(id);
+  }
+
+  void Report() {
+    std::map<std::string, state::heartbeat> beats;
+    for (const auto& [id, one] : live_) {
+      state::attempt_report report;
+      report.attempt = one.attempt;
+      report.used = {one.klass < 2 ? 6'000 : 1'800, 4'000, 0};
+      report.work_done = millis(static_cast<int64_t>(one.work_ms));
+      report.slowdown_pct =
+          one.klass < 2
+              ? static_cast<uint32_t>(100 * one.lagged * Uniform(0.97, 1.03))
+              : 0;
+      beats[one.vm].attempts.push_back(report);
+    }
+    for (auto& [vm, beat] : beats) {
+      beat.vm = {vm, 1};
+      planner_->Observe(beat, view_.now);
+    }
+  }
+
+  void Plan() {
+    const auto made = planner_->Plan(state_, view_);
+    for (const auto& change : made.events) {
+      Must(change);
+      if (const auto* grant = std::get_if<state::attempt_granted>(&change)) {
+        Start(*grant);
+      } else if (const auto* stop =
+                     std::get_if<state::attempt_stopping>(&change)) {
+        auto& one = live_.at(stop->attempt.task);
+        one.stop_at = now_ + 2'000;
+        evictions_ += one.klass >= 2 ? 1 : 0;
+      }
+    }
+    for (const auto& order : made.throttles) {
+      if (const auto it = live_.find(order.attempt.task); it != live_.end()) {
+        it->second.speed = order.percent / 100.0;
+      }
+    }
+  }
+  void Start(const state::attempt_granted& grant) {
+    const auto& id = grant.attempt.task;
+    const auto* job = state_.FindJob(id.job);
+    running one;
+    one.attempt = grant.attempt;
+    one.vm = grant.vm.name;
+    one.klass = job->spec.klass[1] - '0';
+    one.saved_ms = static_cast<double>(job->tasks[id.index].work_done.count());
+    one.work_ms = one.saved_ms;
+    one.needed_ms = one.klass < 2 ? 0 : needed_[id.job];
+    live_[id] = one;
+    Must(state::attempt_running{grant.attempt});
+  }
+
+  run_figures Figures() {
+    std::sort(samples_.begin(), samples_.end());
+    run_figures figures;
+    figures.p99 = samples_[samples_.size() * 99 / 100];
+    figures.throughput = 2 * done_ / kLengthMs;
+    figures.evictions = evictions_;
+    figures.lost_pct = done_ > 0 ? 100 * lost_ / (done_ + lost_) : 0;
+    figures.departing = 2 * departing_done_ / (kSettledMs - kOutMs);
+    figures.departing_lost_pct =
+        departing_done_ > 0
+            ? 100 * departing_lost_ / (departing_done_ + departing_lost_)
+            : 0;
+    return figures;
+  }
+
+  bool batch_;
+  random_engine world_;
+  random_engine policy_random_;
+  std::unique_ptr<planner> planner_;
+  state::cluster_state state_;
+  cluster_view view_;
+  int64_t now_ = 0;
+  int64_t next_arrival_ = 0;
+  int64_t wave_ends_ = 0;
+  int noisy_ = -1;
+  uint64_t jobs_ = 0;
+  std::array<std::array<double, kBatchClasses>, 2> pair_{};
+  std::map<state::task_id, running> live_;
+  std::map<std::string, std::vector<state::task_id>> by_vm_;
+  std::map<std::string, double> needed_;
+  std::vector<double> samples_;
+  double done_ = 0;
+  double lost_ = 0;
+  double departing_done_ = 0;
+  double departing_lost_ = 0;
+  double evictions_ = 0;
+};
+
+}  // namespace chiveglade::sched
+
+#endif  // CHIVEGLADE_BENCH_POLICY_MODEL_H_
--- a/include/chiveglade/sched/planner_options.h
+++ b/include/chiveglade/sched/planner_options.h
@@ -12,9 +12,15 @@
 // baselines for comparison.
 enum class placement_rule : uint8_t { kScored, kFirstFit, kLeastLoaded };
 
-// How measured slowdowns are used. kIgnore and kEvictAtOnce are baselines for
-// comparison.
-enum class interference_rule : uint8_t { kLearned, kIgnore, kEvictAtOnce };
+// How measured slowdowns are used. All but kLearned are baselines for
+// comparison: kUnlearned throttles by measurements but learns nothing about
+// pairs, kIgnore does nothing, kEvictAtOnce evicts instead of throttling.
+enum class interference_rule : uint8_t {
+  kLearned,
+  kUnlearned,
+  kIgnore,
+  kEvictAtOnce
+};
 
 struct planner_options {
   placement_rule placement = placement_rule::kScored;
--- a/src/sched/measurements.cc
+++ b/src/sched/measurements.cc
@@ -98,6 +98,9 @@
                          const resident& victim,
                          double slowdown,
                          boot_time now) {
+  if (options_.interference == interference_rule::kUnlearned) {
+    return;
+  }
   auto neighbours = slot.recent;
   for (auto& entry : neighbours) {
     if (entry.klass == victim.klass) {
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -200,6 +200,7 @@
                           const vm_slot& slot,
                           bool urgent) const {
   if (options_.interference == interference_rule::kIgnore ||
+      options_.interference == interference_rule::kUnlearned ||
       options_.placement != placement_rule::kScored ||
       request.spec->priority == state::band::kService) {
     return true;
@@ -274,7 +275,8 @@
     score += kAcceleratorWeight *
              Left(free.accelerators, slot.capacity.accelerators);
   }
-  if (options_.interference != interference_rule::kIgnore) {
+  if (options_.interference == interference_rule::kLearned ||
+      options_.interference == interference_rule::kEvictAtOnce) {
     score += kSlowdownWeight * AddedSlowdown(request, slot);
   }
   return score + kSpreadWeight * SpreadPenalty(request, slot);
