sched: throttle and lift as many neighbours at a time as needed

Change: a step throttles as many neighbours as make up the excess and a lift as many as the headroom allows; a neighbour at 25% for 20 s is evicted if the gain, now with the speed it regains elsewhere, outweighs the expected loss; the lost share of uncheckpointed work is learned from stops.

--- a/src/sched/demand_model.cc
+++ b/src/sched/demand_model.cc
@@ -17,6 +17,8 @@
 constexpr uint32_t kUpdateEvery = 8;
 // Weight of a new run time.
 constexpr double kRunWeight = 0.1;
+// Weight of a new loss. Failed checkpoints are rare, so many stops count.
+constexpr double kLossWeight = 0.03;
 
 int64_t Corrected(int64_t declared, double ratio, int64_t capacity) {
   const auto wanted =
@@ -120,6 +122,17 @@
           declared.accelerators};
 }
 
+void demand_model::ObserveLoss(class_index klass, double share) {
+  auto& known = At(klass);
+  known.loss_share +=
+      kLossWeight * (std::clamp(share, 0.0, 1.0) - known.loss_share);
+}
+
+double demand_model::ExpectedLoss(class_index klass) const {
+  return klass < entries_.size() ? entries_[klass].loss_share
+                                 : entry{}.loss_share;
+}
+
 millis demand_model::ExpectedRun(class_index klass, millis declared) const {
   if (klass >= entries_.size()) {
     return declared;
--- a/src/sched/demand_model.h
+++ b/src/sched/demand_model.h
@@ -50,11 +50,17 @@
   // The corrected run time; zero if none was declared.
   millis ExpectedRun(class_index klass, millis declared) const;
 
+  // Notes how much of the work since its checkpoint a stopped attempt lost.
+  void ObserveLoss(class_index klass, double share);
+  // Share of the work since the checkpoint that a stop is expected to lose.
+  double ExpectedLoss(class_index klass) const;
+
   struct entry {
     ratio_histogram cores;
     ratio_histogram memory;
     double run_ratio = 1;
     uint32_t run_samples = 0;
+    double loss_share = 0.25;  // a quarter until stops have been seen
   };
   const std::vector<entry>& entries() const { return entries_; }
   entry& At(class_index klass);
--- a/src/sched/interference_guard.cc
+++ b/src/sched/interference_guard.cc
@@ -22,11 +22,19 @@
 // Time over which the gain of an eviction is counted. Neighbours usually stay
 // for minutes.
 constexpr double kGainHorizonMs = 120'000;
+// Time for which a task elsewhere would run at full speed: about what is left
+// of a common batch task.
+constexpr double kSpeedHorizonMs = 30'000;
+// A task at the lowest speed for this long is better moved.
+constexpr millis kStuckAfter{20'000};
 // With more than this share of watched VMs above their limits the cause is the
 // load, not a neighbour, and evictions would only throw work away.
 constexpr double kWaveShare = 0.34;
 constexpr size_t kWaveFewest = 6;
 
+// Share of the headroom that lifts may use up, since effects are estimates.
+constexpr double kLiftShare = 0.8;
+
 constexpr uint32_t kSteps[] = {100, 50, 25};
 
 uint32_t Below(uint32_t percent) {
@@ -56,7 +64,7 @@
 }
 
 void interference_guard::OnReport(vm_slot& slot,
-                                  std::optional<double> worst,
+                                  std::optional<slowdown_reading> worst,
                                   plan_draft& draft) {
   if (options_.interference == interference_rule::kIgnore) {
     return;
@@ -67,21 +75,23 @@
   }
   auto& seen = known == watches_.end() ? watches_[slot.name] : known->second;
   DropEnded(slot, seen);
-  const bool above = worst.value_or(0) > 1;
+  const auto reading = worst.value_or(slowdown_reading{});
+  const bool above = reading.share > 1;
   above_ += above ? 1 : 0;
   above_ -= seen.above ? 1 : 0;
   seen.above = above;
   seen.over = above ? seen.over + 1 : 0;
-  if (worst.value_or(0) >= kCalmShare) {
+  if (reading.share >= kCalmShare) {
     seen.calm_since.reset();
   } else if (!seen.calm_since) {
     seen.calm_since = draft.now();
   }
   if (seen.over >= kReportsOver) {
-    Tighten(slot, seen, draft);
+    Tighten(slot, seen, -reading.headroom, draft);
   } else if (seen.calm_since && !seen.throttles.empty()) {
-    Lift(slot, seen, draft);
+    Lift(slot, seen, reading.headroom, draft);
   }
+  EvictStuck(slot, seen, draft);
   Repeat(seen, draft);
 }
 
@@ -95,6 +105,7 @@
 
 void interference_guard::Tighten(vm_slot& slot,
                                  watch& seen,
+                                 double excess,
                                  plan_draft& draft) {
   if (options_.interference == interference_rule::kEvictAtOnce) {
     Evict(slot, seen, draft);
@@ -105,22 +116,18 @@
       draft.now() - *seen.last_step < options_.measurement_lag) {
     return;
   }
-  const resident* worst = nullptr;
-  double worst_harm = 0;
-  for (const auto& other : slot.residents) {
-    const auto it = seen.throttles.find(other.attempt);
-    const uint32_t percent =
-        it == seen.throttles.end() ? 100 : it->second.percent;
-    if (!Adjustable(other) || percent <= kSteps[2]) {
-      continue;
-    }
-    const double harm = Harm(slot, other) * percent / 100;
-    if (harm > worst_harm) {
-      worst = &other;
-      worst_harm = harm;
+  std::set<state::attempt_id> stepped;
+  while (excess > 0) {
+    const auto* worst = Strongest(slot, seen, stepped);
+    if (worst == nullptr) {
+      break;
     }
+    const uint32_t before = PercentOf(seen, worst->attempt);
+    Set(seen, worst->attempt, Below(before), draft);
+    stepped.insert(worst->attempt);
+    excess -= Harm(slot, *worst) * (before - Below(before)) / 100;
   }
-  if (worst == nullptr) {
+  if (stepped.empty()) {
     if (!seen.last_step || draft.now() - *seen.last_step >= kPatience) {
       Evict(slot, seen, draft);
     }
@@ -131,9 +138,6 @@
         std::min(kLongestLiftWait, std::max(kPatience, seen.lift_wait) * 2);
     seen.last_lift.reset();
   }
-  const auto it = seen.throttles.find(worst->attempt);
-  Set(seen, worst->attempt,
-      Below(it == seen.throttles.end() ? 100 : it->second.percent), draft);
   seen.last_step = draft.now();
 }
 
@@ -154,40 +158,117 @@
   if (worst == nullptr) {
     return;
   }
-  // What is left to gain is the slowdown at the lowest speed.
-  const double gain = worst_harm * kSteps[2] / 100 * kGainHorizonMs;
-  if (at_once || gain > EvictionCost(*worst)) {
+  if (at_once || Gain(slot, seen, *worst) > EvictionCost(*worst)) {
     draft.Stop(slot, *worst, "interference");
     seen.over = 0;
     seen.last_step = draft.now();
   }
 }
 
-void interference_guard::Lift(vm_slot& slot, watch& seen, plan_draft& draft) {
+double interference_guard::Gain(const vm_slot& slot,
+                                const watch& seen,
+                                const resident& neighbour) const {
+  const double speed = PercentOf(seen, neighbour.attempt) / 100.0;
+  return Harm(slot, neighbour) * speed * kGainHorizonMs +
+         (1 - speed) * kSpeedHorizonMs;
+}
+
+void interference_guard::EvictStuck(vm_slot& slot,
+                                    watch& seen,
+                                    plan_draft& draft) {
+  if (options_.interference != interference_rule::kLearned || WaveOfNoise() ||
+      (seen.last_step && draft.now() - *seen.last_step < kPatience)) {
+    return;
+  }
+  resident* worst = nullptr;
+  double most = 0;
+  for (auto& other : slot.residents) {
+    const auto it = seen.throttles.find(other.attempt);
+    if (it == seen.throttles.end() || it->second.percent > kSteps[2] ||
+        draft.now() - it->second.changed < kStuckAfter || !Adjustable(other)) {
+      continue;
+    }
+    const double surplus = Gain(slot, seen, other) - EvictionCost(other);
+    if (surplus > most) {
+      worst = &other;
+      most = surplus;
+    }
+  }
+  if (worst != nullptr) {
+    draft.Stop(slot, *worst, "interference");
+    seen.last_step = draft.now();
+  }
+}
+
+void interference_guard::Lift(vm_slot& slot,
+                              watch& seen,
+                              double headroom,
+                              plan_draft& draft) {
   const auto wait = std::max(kPatience, seen.lift_wait);
   if (draft.now() - *seen.calm_since < wait) {
     return;
   }
+  std::set<state::attempt_id> stepped;
+  while (const auto* mildest = Mildest(slot, seen, stepped)) {
+    const uint32_t before = PercentOf(seen, mildest->attempt);
+    const double cost = Harm(slot, *mildest) * (Above(before) - before) / 100;
+    if (!stepped.empty() && cost > headroom * kLiftShare) {
+      break;
+    }
+    headroom -= cost;
+    Set(seen, mildest->attempt, Above(before), draft);
+    stepped.insert(mildest->attempt);
+  }
+  if (!stepped.empty()) {
+    seen.calm_since = draft.now();
+    seen.last_lift = draft.now();
+  }
+}
+
+const resident* interference_guard::Strongest(
+    const vm_slot& slot,
+    const watch& seen,
+    const std::set<state::attempt_id>& skip) const {
+  const resident* strongest = nullptr;
+  double most = 0;
+  for (const auto& other : slot.residents) {
+    const uint32_t percent = PercentOf(seen, other.attempt);
+    if (!Adjustable(other) || percent <= kSteps[2] ||
+        skip.contains(other.attempt)) {
+      continue;
+    }
+    const double harm = Harm(slot, other) * percent / 100;
+    if (harm > most) {
+      strongest = &other;
+      most = harm;
+    }
+  }
+  return strongest;
+}
+
+const resident* interference_guard::Mildest(
+    const vm_slot& slot,
+    const watch& seen,
+    const std::set<state::attempt_id>& skip) const {
   const resident* mildest = nullptr;
-  double least_harm = 0;
+  double least = 0;
   for (const auto& other : slot.residents) {
-    const auto it = seen.throttles.find(other.attempt);
-    if (it == seen.throttles.end() || it->second.percent >= 100) {
+    if (PercentOf(seen, other.attempt) >= 100 || skip.contains(other.attempt)) {
       continue;
     }
     const double harm = Harm(slot, other);
-    if (mildest == nullptr || harm < least_harm) {
+    if (mildest == nullptr || harm < least) {
       mildest = &other;
-      least_harm = harm;
+      least = harm;
     }
   }
-  if (mildest == nullptr) {
-    return;
-  }
-  Set(seen, mildest->attempt, Above(seen.throttles[mildest->attempt].percent),
-      draft);
-  seen.calm_since = draft.now();
-  seen.last_lift = draft.now();
+  return mildest;
+}
+
+uint32_t interference_guard::PercentOf(const watch& seen,
+                                       const state::attempt_id& attempt) {
+  const auto it = seen.throttles.find(attempt);
+  return it == seen.throttles.end() ? 100 : it->second.percent;
 }
 
 void interference_guard::Repeat(watch& seen, plan_draft& draft) {
--- a/src/sched/interference_guard.h
+++ b/src/sched/interference_guard.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "src/sched/interference_model.h"
@@ -11,10 +12,18 @@
 
 namespace chiveglade::sched {
 
+// The measured slowdown of a latency-critical attempt against its limit.
+struct slowdown_reading {
+  double share = 0;     // of the limit: 1 is at the limit
+  double headroom = 0;  // limit minus slowdown, as a share of the run time
+};
+
 // One control loop per VM. Three reports in a row above a limit throttle the
-// neighbour with the greatest learned effect to 50%, then 25%. If that has not
+// neighbours with the greatest learned effects to 50%, then 25%, as many at a
+// time as their effects need to make up the excess. If that has not
 // helped after 10 s and the gain outweighs the work lost, it is evicted. After
-// 10 s below 90% of the limit, throttles are lifted in steps; a lift that is
+// 10 s below 90% of the limit, throttles are lifted in steps, as many at a time
+// as the headroom allows; a lift that is
 // followed by a new throttle doubles the wait for the next one.
 class interference_guard {
  public:
@@ -23,9 +32,11 @@
                      const interference_model& model)
       : options_(options), classes_(classes), model_(model) {}
 
-  // Acts on a new report of the VM. `worst` is the largest measured slowdown of
-  // a latency-critical resident as a share of its limit; none: not measured.
-  void OnReport(vm_slot& slot, std::optional<double> worst, plan_draft& draft);
+  // Acts on a new report of the VM. `worst` is the reading of the resident that
+  // is nearest its limit or furthest above it; none: not measured.
+  void OnReport(vm_slot& slot,
+                std::optional<slowdown_reading> worst,
+                plan_draft& draft);
 
   // Forgets VMs that are gone. Called once a plan.
   void Trim(const vm_index& index);
@@ -57,10 +68,27 @@
     bool above = false;
     std::map<state::attempt_id, throttle> throttles;
   };
+  static uint32_t PercentOf(const watch& seen,
+                            const state::attempt_id& attempt);
   static void DropEnded(const vm_slot& slot, watch& seen);
-  void Tighten(vm_slot& slot, watch& seen, plan_draft& draft);
+  void Tighten(vm_slot& slot, watch& seen, double excess, plan_draft& draft);
+  // The neighbour whose throttling helps most; null if none is left.
+  const resident* Strongest(const vm_slot& slot,
+                            const watch& seen,
+                            const std::set<state::attempt_id>& skip) const;
+  const resident* Mildest(const vm_slot& slot,
+                          const watch& seen,
+                          const std::set<state::attempt_id>& skip) const;
+  // Work gained by moving a neighbour: what it slows others by, and what it
+  // loses itself by being throttled.
+  double Gain(const vm_slot& slot,
+              const watch& seen,
+              const resident& neighbour) const;
+  // Evicts a neighbour that has been at the lowest speed for long, if the gain
+  // outweighs the work lost.
+  void EvictStuck(vm_slot& slot, watch& seen, plan_draft& draft);
   void Evict(vm_slot& slot, watch& seen, plan_draft& draft);
-  void Lift(vm_slot& slot, watch& seen, plan_draft& draft);
+  void Lift(vm_slot& slot, watch& seen, double headroom, plan_draft& draft);
   void Repeat(watch& seen, plan_draft& draft);
   void Set(watch& seen,
            const state::attempt_id& attempt,
--- a/src/sched/measurements.cc
+++ b/src/sched/measurements.cc
@@ -54,7 +54,7 @@
                              const inbox_entry& entry,
                              plan_draft& draft) {
   UpdateRecent(slot, entry.received);
-  std::optional<double> worst;
+  std::optional<slowdown_reading> worst;
   size_t hint = 0;
   for (const auto& report : entry.report.attempts) {
     auto* found = FindResident(slot, report.attempt, hint);
@@ -70,9 +70,12 @@
       continue;
     }
     Learn(slot, *found, report.slowdown_pct / 100.0, entry.received);
-    const double share = static_cast<double>(report.slowdown_pct) /
-                         std::max(1U, klass.slowdown_limit_pct);
-    worst = std::max(worst.value_or(0), share);
+    const double limit = std::max(1U, klass.slowdown_limit_pct);
+    const slowdown_reading reading{report.slowdown_pct / limit,
+                                   (limit - report.slowdown_pct) / 100};
+    if (!worst || reading.share > worst->share) {
+      worst = reading;
+    }
   }
   guard_.OnReport(slot, worst, draft);
 }
--- a/src/sched/planner_impl.cc
+++ b/src/sched/planner_impl.cc
@@ -41,14 +41,25 @@
                                boot_time now) {
   health_.ObserveEnd(end, vm);
   const auto* slot = index_.Find(vm);
-  if (slot == nullptr || end.how != state::attempt_end::kFinished) {
+  if (slot == nullptr) {
     return;
   }
   for (const auto& known : slot->residents) {
+    if (known.attempt != end.attempt) {
+      continue;
+    }
+    const auto done = known.work_done - known.checkpointed;
     // Only whole runs tell how long the task takes.
-    if (known.attempt == end.attempt && known.checkpointed == millis(0)) {
+    if (end.how == state::attempt_end::kFinished &&
+        known.checkpointed == millis(0)) {
       demand_.ObserveRun(known.klass, spec.expected_run,
                          now - known.first_seen);
+    } else if (end.how == state::attempt_end::kStopped && done > millis(0)) {
+      const auto saved =
+          end.checkpoint.empty() ? known.checkpointed : end.work_done;
+      demand_.ObserveLoss(
+          known.klass, static_cast<double>((known.work_done - saved).count()) /
+                           static_cast<double>(done.count()));
     }
   }
 }
--- a/src/sched/preemption.cc
+++ b/src/sched/preemption.cc
@@ -36,7 +36,8 @@
       static_cast<double>((victim.work_done - victim.checkpointed).count()));
   const double band = static_cast<double>(state::band::kIdle) -
                       static_cast<double>(victim.priority);
-  return (lost + kRestartCostMs) * (1 + victim.evictions) + band * kBandCostMs;
+  return (lost * victim.loss_share + kRestartCostMs) * (1 + victim.evictions) +
+         band * kBandCostMs;
 }
 
 preemption::preemption(const planner_options& options,
--- a/src/sched/preemption.h
+++ b/src/sched/preemption.h
@@ -16,9 +16,10 @@
   return victim > taker;
 }
 
-// What stopping a resident costs, in milliseconds of work: what it has done
-// since its checkpoint, a fixed restart cost, and more for each time its task
-// was evicted before, so that no task is evicted over and over.
+// What stopping a resident costs, in milliseconds of work: what it is
+// expected to lose of that done since its checkpoint, a fixed restart cost, and
+// more for each time its task was evicted before, so that no task is evicted
+// over and over.
 double EvictionCost(const resident& victim);
 
 class preemption {
--- a/src/sched/starter.cc
+++ b/src/sched/starter.cc
@@ -202,6 +202,7 @@
                  .evictions = job.tasks[index].evictions};
   added.expected =
       with_.demand.Expected(added.klass, added.declared, slot.capacity);
+  added.loss_share = with_.demand.ExpectedLoss(added.klass);
   if (NeedsSpread(spec)) {
     auto& spread = SpreadOf(job);
     ++spread.racks[slot.rack];
--- a/src/sched/vm_index.cc
+++ b/src/sched/vm_index.cc
@@ -168,6 +168,7 @@
                    .evictions = task.evictions,
                    .stopping = task.phase == state::task_phase::kStopping};
     added.expected = demand.Expected(added.klass, added.declared, vm.capacity);
+    added.loss_share = demand.ExpectedLoss(added.klass);
     KeepMeasurements(before, added);
     slot.expected += added.expected;
     slot.residents.push_back(std::move(added));
--- a/src/sched/vm_index.h
+++ b/src/sched/vm_index.h
@@ -25,6 +25,7 @@
   millis checkpointed{0};  // work in the newest checkpoint
   boot_time first_seen{};
   uint32_t evictions = 0;  // of the task
+  double loss_share = 1;   // of the work since the checkpoint, if stopped
   bool stopping = false;   // asked to stop, also by the current plan
 };
 
