--- a/src/sched/backfill.cc
+++ b/src/sched/backfill.cc
@@ -42,8 +42,8 @@
     return;
   }
   // Normal work evicts idle work only, whatever band the task has.
-  const auto victims =
-      preemption::Victims(*slot, job->spec.per_task, state::band::kNormal);
+  const auto victims = preemption::Victims(
+      *slot, job->spec.per_task, job->spec.per_task, state::band::kNormal);
   if (victims) {
     for (auto* victim : *victims) {
       draft.Stop(*slot, *victim, "reserved");
@@ -52,9 +52,9 @@
 }
 
 void backfill::End(plan_draft& draft) {
-  for (const auto& id : starts_.without_room()) {
-    const auto* job = draft.state().FindJob(id.job);
-    if (job != nullptr && Large(job->spec)) {
+  for (const auto& [job, index] : starts_.without_room()) {
+    if (Large(job->spec)) {
+      const state::task_id id{job->spec.name, index};
       waiting_.try_emplace(id, waiting{draft.now(), draft.now()})
           .first->second.seen = draft.now();
     }
