--- a/include/chiveglade/agent/announcer.h
+++ b/include/chiveglade/agent/announcer.h
@@ -99,13 +99,13 @@
             announcer_hooks hooks,
             clock_fn clock);
 
-  void Run(net::yield yield);
+  void Run(const net::yield& yield);
   void MakeCalls();
-  void CallWorker(const worker_call& call, net::yield yield);
+  void CallWorker(const worker_call& call, const net::yield& yield);
   void SendHeartbeats();
   void Send(const std::string& address,
             const state::heartbeat& beat,
-            net::yield yield);
+            const net::yield& yield);
   void TakeAnswer(const std::string& address,
                   const state::heartbeat& beat,
                   const std::string& body);
--- a/include/chiveglade/agent/h2_heartbeat_sender.h
+++ b/include/chiveglade/agent/h2_heartbeat_sender.h
@@ -26,7 +26,7 @@
   // net::Exchange.
   result<std::string> Send(const std::string& address,
                            const std::string& body,
-                           net::yield yield);
+                           const net::yield& yield);
 
   // Closes every connection; later calls fail.
   void Close();
--- a/include/chiveglade/agent/worker_client.h
+++ b/include/chiveglade/agent/worker_client.h
@@ -30,7 +30,7 @@
 
   // Makes one call and waits for its answer, at most kStartCallLimit for the
   // connection and twice that for the answer.
-  worker_reply Call(const worker_call& call, net::yield yield);
+  worker_reply Call(const worker_call& call, const net::yield& yield);
 
   // Later calls are not sent.
   void Close();
--- a/src/agent/announcer.cc
+++ b/src/agent/announcer.cc
@@ -58,11 +58,13 @@
 void announcer::Start() {
   asio::spawn(
       strand_,
-      [self = shared_from_this()](net::yield yield) { self->Run(yield); },
+      [self = shared_from_this()](const net::yield& yield) {
+        self->Run(yield);
+      },
       asio::detached);
 }
 
-void announcer::Run(net::yield yield) {
+void announcer::Run(const net::yield& yield) {
   while (!stopped_) {
     MakeCalls();
     SendHeartbeats();
@@ -82,14 +84,13 @@
   for (auto& call : core_->Tick()) {
     asio::spawn(
         strand_,
-        [self = shared_from_this(), call = std::move(call)](net::yield yield) {
-          self->CallWorker(call, yield);
-        },
+        [self = shared_from_this(), call = std::move(call)](
+            const net::yield& yield) { self->CallWorker(call, yield); },
         asio::detached);
   }
 }
 
-void announcer::CallWorker(const worker_call& call, net::yield yield) {
+void announcer::CallWorker(const worker_call& call, const net::yield& yield) {
   ++counters_.worker_calls;
   const auto reply = hooks_.call_worker(call, yield);
   if (reply.outcome.status != worker_call_status::kDone) {
@@ -121,7 +122,7 @@
     asio::spawn(
         strand_,
         [self = shared_from_this(), address = to.address,
-         beat = to.full ? full : partial](net::yield yield) {
+         beat = to.full ? full : partial](const net::yield& yield) {
           self->Send(address, *beat, yield);
         },
         asio::detached);
@@ -130,7 +131,7 @@
 
 void announcer::Send(const std::string& address,
                      const state::heartbeat& beat,
-                     net::yield yield) {
+                     const net::yield& yield) {
   const auto body = state::EncodeHeartbeat(beat);
   ++counters_.heartbeats;
   counters_.bytes_sent += body.size();
--- a/src/agent/h2_heartbeat_sender.cc
+++ b/src/agent/h2_heartbeat_sender.cc
@@ -39,7 +39,7 @@
 
 result<std::string> h2_heartbeat_sender::Send(const std::string& address,
                                               const std::string& body,
-                                              net::yield yield) {
+                                              const net::yield& yield) {
   const auto client = Client(address);
   if (!client) {
     return reason{"bad_address", address + " cannot be connected to"};
--- a/src/agent/worker_client.cc
+++ b/src/agent/worker_client.cc
@@ -41,7 +41,8 @@
   client_ = net::http_client::Make(loop, ip, port, options);
 }
 
-worker_reply worker_client::Call(const worker_call& call, net::yield yield) {
+worker_reply worker_client::Call(const worker_call& call,
+                                 const net::yield& yield) {
   const bool list = call.kind == worker_call_kind::kList;
   net::http_request request;
   request.method = list ? "GET" : "POST";
--- a/src/app/entry_role.cc
+++ b/src/app/entry_role.cc
@@ -140,8 +140,8 @@
   claim_limits.entry = settings.name;
   claims = routing::claim_book::Make(
       claim_limits,
-      {context.table, context.clock, &UnixMillis,
-       context.random, [this](millis wait, std::function<void()> then) {
+      {context.table, context.clock, &UnixMillis, context.random,
+       [this](millis wait, std::function<void()> then) {
          auto timer = std::make_shared<net::asio::steady_timer>(loop, wait);
          timer->async_wait([timer, then = std::move(then)](
                                const boost::system::error_code&) { then(); });
--- a/tests/agent/announcer_test.cc
+++ b/tests/agent/announcer_test.cc
@@ -64,7 +64,7 @@
 
 void ServeHeartbeat(granting_entry& entry,
                     const net::h2_stream_ptr& stream,
-                    net::yield yield) {
+                    const net::yield& yield) {
   std::string body;
   std::array<char, 4096> chunk{};
   for (auto size = stream->Read(chunk.data(), chunk.size(), yield);
@@ -85,10 +85,10 @@
     options.table.boot = 11;
     options.server.lose_answers_pct = lose_answers_pct;
     worker = *standin::worker_standin::Make(loop, options);
-    server = *net::h2_server::Make(loop, "127.0.0.1", 0, {},
-                                   [this](auto stream, net::yield yield) {
-                                     ServeHeartbeat(entry, stream, yield);
-                                   });
+    server = *net::h2_server::Make(
+        loop, "127.0.0.1", 0, {}, [this](auto stream, const net::yield& yield) {
+          ServeHeartbeat(entry, stream, yield);
+        });
     client = std::make_unique<worker_client>(loop, "127.0.0.1", worker->port());
     sender = std::make_unique<h2_heartbeat_sender>(loop, net::h2_options(),
                                                    millis(2'000));
@@ -98,11 +98,13 @@
     agent.capacity = options.table.capacity;
     agent.worker_poll = millis(50);
     announcer_hooks hooks;
-    hooks.call_worker = [this](const worker_call& call, net::yield yield) {
+    hooks.call_worker = [this](const worker_call& call,
+                               const net::yield& yield) {
       return client->Call(call, yield);
     };
     hooks.send_heartbeat = [this](const std::string& address,
-                                  const std::string& body, net::yield yield) {
+                                  const std::string& body,
+                                  const net::yield& yield) {
       return sender->Send(address, body, yield);
     };
     announces = announcer::Make(
@@ -156,7 +158,7 @@
   CHECK(at.entry.ends[0].how == state::attempt_end::kStopped);
   CHECK_FALSE(at.entry.ends[0].checkpoint.empty());
   const auto& past = at.worker->past();
-  CHECK(past.violations() == std::vector<std::string>());
+  CHECK(past.violations().empty());
   const auto& last = past.attempts().rbegin()->second;
   CHECK(last.state == worker_state::kFinished);
   CHECK(last.work_restored == at.entry.ends[0].work_done);
--- a/tools/worker_standin/checkpoint_store.cc
+++ b/tools/worker_standin/checkpoint_store.cc
@@ -22,12 +22,12 @@
 }
 
 std::optional<millis> checkpoint_store::Run(const checkpoint_job& job,
-                                            net::yield yield) {
+                                            const net::yield& yield) {
   return job.read ? Read(job, yield) : Write(job, yield);
 }
 
 std::optional<millis> checkpoint_store::Write(const checkpoint_job& job,
-                                              net::yield yield) {
+                                              const net::yield& yield) {
   const auto body = nlohmann::json{{"work_done_ms", job.work.count()}}.dump();
   if (!client_) {
     objects_[job.key] = body;
@@ -45,7 +45,7 @@
 }
 
 std::optional<millis> checkpoint_store::Read(const checkpoint_job& job,
-                                             net::yield yield) {
+                                             const net::yield& yield) {
   std::string body;
   if (!client_) {
     body = objects_[job.key];
--- a/tools/worker_standin/checkpoint_store.h
+++ b/tools/worker_standin/checkpoint_store.h
@@ -23,11 +23,13 @@
 
   // Carries out one job; the work that the checkpoint holds, or none if the
   // store did not answer.
-  std::optional<millis> Run(const checkpoint_job& job, net::yield yield);
+  std::optional<millis> Run(const checkpoint_job& job, const net::yield& yield);
 
  private:
-  std::optional<millis> Write(const checkpoint_job& job, net::yield yield);
-  std::optional<millis> Read(const checkpoint_job& job, net::yield yield);
+  std::optional<millis> Write(const checkpoint_job& job,
+                              const net::yield& yield);
+  std::optional<millis> Read(const checkpoint_job& job,
+                             const net::yield& yield);
 
   std::shared_ptr<net::http_client> client_;  // null: in memory
   std::map<std::string, std::string> objects_;
--- a/tools/worker_standin/request_server.cc
+++ b/tools/worker_standin/request_server.cc
@@ -28,8 +28,8 @@
 
 namespace {
 
-constexpr size_t kChunkBytes = 16 * 1024;
-constexpr uint64_t kMaxHeaderBytes = 64 * 1024;
+constexpr size_t kChunkBytes = size_t{16} * 1024;
+constexpr uint64_t kMaxHeaderBytes = uint64_t{64} * 1024;
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr char kRequestId[] = "chiveglade-request-id";
@@ -108,7 +108,9 @@
 void request_server::Start() {
   asio::spawn(
       loop_,
-      [self = shared_from_this()](net::yield yield) { self->Accept(yield); },
+      [self = shared_from_this()](const net::yield& yield) {
+        self->Accept(yield);
+      },
       asio::detached);
 }
 
@@ -117,7 +119,7 @@
   (void)acceptor_.close(ignored);
 }
 
-void request_server::Accept(net::yield yield) {
+void request_server::Accept(const net::yield& yield) {
   while (acceptor_.is_open()) {
     error_code error;
     auto socket = acceptor_.async_accept(yield[error]);
@@ -128,20 +130,20 @@
     auto on = std::make_shared<connection>(std::move(socket));
     asio::spawn(
         loop_,
-        [self = shared_from_this(), on](net::yield inner) {
+        [self = shared_from_this(), on](const net::yield& inner) {
           self->Serve(*on, inner);
         },
         asio::detached);
   }
 }
 
-void request_server::Serve(connection& on, net::yield yield) {
+void request_server::Serve(connection& on, const net::yield& yield) {
   while (ServeOne(on, yield)) {
   }
 }
 
 // Whether the connection can be used again.
-bool request_server::ServeOne(connection& on, net::yield yield) {
+bool request_server::ServeOne(connection& on, const net::yield& yield) {
   parser request;
   request.body_limit(boost::none);
   request.header_limit(kMaxHeaderBytes);
@@ -162,7 +164,7 @@
                               parser& request,
                               bool keep,
                               received& out,
-                              net::yield yield) {
+                              const net::yield& yield) {
   const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> digest(
       XXH64_createState(), &XXH64_freeState);
   XXH64_reset(digest.get(), 0);
@@ -190,7 +192,7 @@
 bool request_server::ServeControl(connection& on,
                                   const parser& request,
                                   const std::string& body,
-                                  net::yield yield) {
+                                  const net::yield& yield) {
   const auto reply = HandleControl(std::string(request.get().method_string()),
                                    std::string(request.get().target()), body,
                                    tasks_, past_, boot_clock::now());
@@ -202,7 +204,7 @@
 
 bool request_server::ServeReplica(connection& on,
                                   parser& request,
-                                  net::yield yield) {
+                                  const net::yield& yield) {
   const auto by =
       tasks_.FindReplica(Field(request.get(), "chiveglade-service"));
   if (!by) {
@@ -243,7 +245,7 @@
 bool request_server::Execute(connection& on,
                              parser& request,
                              const std::shared_ptr<replica>& by,
-                             net::yield yield) {
+                             const net::yield& yield) {
   received in;
   if (!ReadBody(on, request, false, in, yield)) {
     return false;
@@ -288,7 +290,7 @@
                             int status,
                             const std::string& body,
                             const received& in,
-                            net::yield yield) {
+                            const net::yield& yield) {
   http::response<http::string_body> reply(static_cast<http::status>(status),
                                           request.get().version(), body);
   reply.set(http::field::content_type, "application/json");
@@ -307,7 +309,7 @@
                             const parser& request,
                             uint64_t bytes,
                             const received& in,
-                            net::yield yield) {
+                            const net::yield& yield) {
   http::response<http::empty_body> head(http::status::ok,
                                         request.get().version());
   head.set(kRequestId, Field(request.get(), kRequestId));
@@ -335,7 +337,7 @@
 bool request_server::Refuse(connection& on,
                             const parser& request,
                             const std::string& code,
-                            net::yield yield) {
+                            const net::yield& yield) {
   // The body was not read, so the connection cannot be used again.
   http::response<http::string_body> reply(
       static_cast<http::status>(kUnavailable), request.get().version(),
--- a/tools/worker_standin/request_server.h
+++ b/tools/worker_standin/request_server.h
@@ -69,39 +69,39 @@
                  history& past,
                  random_fn random);
 
-  void Accept(net::yield yield);
-  void Serve(connection& on, net::yield yield);
-  bool ServeOne(connection& on, net::yield yield);
+  void Accept(const net::yield& yield);
+  void Serve(connection& on, const net::yield& yield);
+  bool ServeOne(connection& on, const net::yield& yield);
   bool ReadBody(connection& on,
                 parser& request,
                 bool keep,
                 received& out,
-                net::yield yield);
+                const net::yield& yield);
   bool ServeControl(connection& on,
                     const parser& request,
                     const std::string& body,
-                    net::yield yield);
-  bool ServeReplica(connection& on, parser& request, net::yield yield);
+                    const net::yield& yield);
+  bool ServeReplica(connection& on, parser& request, const net::yield& yield);
   bool Execute(connection& on,
                parser& request,
                const std::shared_ptr<replica>& by,
-               net::yield yield);
+               const net::yield& yield);
   bool CountConnection(connection& on, const std::shared_ptr<replica>& by);
   bool Answer(connection& on,
               const parser& request,
               int status,
               const std::string& body,
               const received& in,
-              net::yield yield);
+              const net::yield& yield);
   bool Stream(connection& on,
               const parser& request,
               uint64_t bytes,
               const received& in,
-              net::yield yield);
+              const net::yield& yield);
   bool Refuse(connection& on,
               const parser& request,
               const std::string& code,
-              net::yield yield);
+              const net::yield& yield);
 
   net::asio::io_context& loop_;
   server_options options_;
--- a/tools/worker_standin/worker_standin.cc
+++ b/tools/worker_standin/worker_standin.cc
@@ -31,7 +31,8 @@
   self->server_ = std::move(*made);
   self->server_->Start();
   asio::spawn(
-      loop, [self](net::yield yield) { self->Run(yield); }, asio::detached);
+      loop, [self](const net::yield& yield) { self->Run(yield); },
+      asio::detached);
   return out;
 }
 
@@ -42,13 +43,13 @@
       checkpoints_(loop, options.object_store),
       timer_(loop) {}
 
-void worker_standin::Run(net::yield yield) {
+void worker_standin::Run(const net::yield& yield) {
   while (!stopped_) {
     tasks_.Advance(boot_clock::now());
     for (const auto& job : tasks_.TakeCheckpointJobs()) {
       asio::spawn(
           loop_,
-          [this, job](net::yield inner) {
+          [this, job](const net::yield& inner) {
             const auto work = checkpoints_.Run(job, inner);
             tasks_.OnCheckpoint(job, work, boot_clock::now());
           },
--- a/tools/worker_standin/worker_standin.h
+++ b/tools/worker_standin/worker_standin.h
@@ -41,7 +41,7 @@
  private:
   worker_standin(net::asio::io_context& loop, standin_options options);
 
-  void Run(net::yield yield);
+  void Run(const net::yield& yield);
 
   net::asio::io_context& loop_;
   random_engine random_;
