--- a/src/sched/departure.cc
+++ b/src/sched/departure.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // How long room for a replica is looked for before it is stopped without.
-constexpr millis kGiveUpAfter{10'000};
+constexpr millis kGiveUpAfter{3'000};
 
 }  // namespace
 
