Let any entry ask the scheduler; print the state when the demo fails

Cause: questions passed on between entries still carried no :authority, so operators saw an empty cluster unless they asked the scheduler itself. Change: PeerGet is used for them too.

--- a/src/app/operator_questions.cc
+++ b/src/app/operator_questions.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "heartbeat_service.h"
+#include "manifest_fetch.h"
 #include "operator_api.h"
 
 namespace chiveglade::app {
@@ -171,11 +172,8 @@
     return MakeAnswer(503, "no_scheduler", "no scheduler is known");
   }
   const auto answer =
-      net::Exchange(*client,
-                    {{":method", "GET"},
-                     {":scheme", "http"},
-                     {":path", kSchedulerPrefix + path}},
-                    "", kMaxAnswerBytes, kQuestionTimeout, yield);
+      net::Exchange(*client, PeerGet(kSchedulerPrefix + path), "",
+                    kMaxAnswerBytes, kQuestionTimeout, yield);
   if (!answer) {
     return MakeAnswer(
         503, "no_scheduler",
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -43,6 +43,11 @@
         cluster.wait_for(cluster.all_replicas_serve, "replicas to be back", 120)
         load.wait(arguments.seconds + 60)
         return report(cluster, centre)
+    except AssertionError as error:
+        print("BROKEN:", error)
+        for command in (("dc", "status"), ("job", "status"), ("worker", "status")):
+            print(cluster.cli(*command)[1])
+        return 1
     finally:
         cluster.stop()
 
