--- a/src/net/h2_session.cc
+++ b/src/net/h2_session.cc
@@ -271,23 +271,24 @@
 }
 
 void h2_session::Abandon(const h2_stream_state_ptr& of) {
-  if (of->closed || of->discards) {
-    DropInbox(*of);
+  if (!of->closed && !of->discards &&
+      (side_ == side::kClient || !of->local_end_queued)) {
+    Reset(of, side_ == side::kClient ? NGHTTP2_CANCEL : NGHTTP2_INTERNAL_ERROR);
     return;
   }
-  if (side_ == side::kClient) {
-    Reset(of, NGHTTP2_CANCEL);
-  } else if (!of->local_end_queued) {
-    Reset(of, NGHTTP2_INTERNAL_ERROR);
-  } else if (!of->remote_end) {
-    // nghttp2 would send a reset before the answer that is still queued.
+  // The answer of a server that is still queued is sent to its end; what the
+  // client still sends is not wanted.
+  if (!of->failure) {
+    of->failure = {"stream_ended", "the stream was abandoned by this side"};
+  }
+  Resume(of->on_read, result<size_t>(*of->failure));
+  DropInbox(*of);
+  if (!of->closed && !of->remote_end) {
+    // nghttp2 would send a reset before the rest of the answer.
     of->reset_when_ended = true;
-    DropInbox(*of);
     if (of->local_end_sent) {
       OnLocalEnd(*of);
     }
-  } else {
-    DropInbox(*of);
   }
 }
 
@@ -443,8 +444,8 @@
 }
 
 void h2_session::OnRemoteEnd(h2_stream_state& of) {
-  // A failed stream delivers no answer, even if one arrives after all.
-  of.remote_end = !of.failure;
+  // A failed stream delivers no answer to the client, even if one arrives.
+  of.remote_end = side_ == side::kServer || !of.failure;
   Resume(of.on_read, result<size_t>(size_t{0}));
 }
 
