Add runs of overlapping random faults to the matrix

Cause: each cell holds one fault, and faults overlap and repeat in practice.

Change: 300 seeded runs of 2 to 6 faults at random times; a failing seed prints its faults and the command that repeats it.

--- a/include/chiveglade/config/manifest.h
+++ b/include/chiveglade/config/manifest.h
@@ -92,7 +92,7 @@
 };
 
 // Largest manifest accepted, in bytes.
-constexpr size_t kMaxManifestBytes = 8 * 1024 * 1024;
+constexpr size_t kMaxManifestBytes = size_t{8} * 1024 * 1024;
 
 // Parses and checks a manifest. `source` names the file in problems. Returns
 // every problem found, not only the first.
--- a/tests/matrix/matrix_faults.cc
+++ b/tests/matrix/matrix_faults.cc
@@ -160,10 +160,14 @@
     return;
   }
   injected_ = true;
+  // Not within the callback that reached the step.
+  At(now_, [this] { Begin(fault_); });
+}
+
+void matrix_world::Begin(const std::string& fault) {
   for (const auto& [name, action] : matrix_faults_table::All()) {
-    if (name == fault_) {
-      // Not within the callback that reached the step.
-      At(now_, [this, action = action] { action(*this); });
+    if (name == fault) {
+      action(*this);
     }
   }
 }
--- a/tests/matrix/matrix_test.cc
+++ b/tests/matrix/matrix_test.cc
@@ -9,6 +9,14 @@
 
 namespace {
 
+std::string CellName(const std::string& planner,
+                     const std::string& fault,
+                     size_t step) {
+  std::string out = planner;
+  out.append(":").append(fault).append(":").append(kMatrixSteps[step]);
+  return out;
+}
+
 // Runs one cell; returns false and prints how to repeat it if it failed.
 bool RunCell(const std::string& planner,
              const std::string& fault,
@@ -21,9 +29,9 @@
   if (world.problem().empty() && world.starts() >= 10) {
     return true;
   }
-  const std::string cell = planner + ":" + fault + ":" + kMatrixSteps[step];
-  std::cout << "cell " << cell << ": " << world.problem() << "\n  repeat with: "
-            << "CHIVEGLADE_CELL=" << cell
+  const std::string cell = CellName(planner, fault, step);
+  std::cout << "cell " << cell << ": " << world.problem()
+            << "\n  repeat with: CHIVEGLADE_CELL=" << cell
             << " build/tests/matrix/matrix_test\n";
   return false;
 }
@@ -42,8 +50,7 @@
   for (const std::string planner : {"first_fit", "scored"}) {
     for (const auto& fault : MatrixFaults()) {
       for (size_t step = 0; step < kMatrixSteps.size(); ++step) {
-        if (chosen && planner + ":" + fault + ":" + kMatrixSteps[step] !=
-                          std::string(chosen)) {
+        if (chosen && CellName(planner, fault, step) != chosen) {
           continue;
         }
         ++cells;
@@ -59,4 +66,38 @@
   CHECK(injected == cells);
 }
 
+// Guards against invariants that hold under each fault alone and break when
+// faults overlap or repeat.
+TEST_CASE("overlapping random faults leave the invariants intact") {
+  constexpr uint64_t kRuns = 300;
+  const char* const chosen = std::getenv("CHIVEGLADE_SEED");
+  const auto faults = MatrixFaults();
+  size_t failed = 0;
+  for (uint64_t seed = 1; seed <= kRuns; ++seed) {
+    if (chosen && std::to_string(seed) != chosen) {
+      continue;
+    }
+    random_engine random(seed);
+    matrix_world world(seed % 2 == 0, seed);
+    std::string injected;
+    for (uint64_t count = 2 + random() % 5; count > 0; --count) {
+      const auto& fault = faults[random() % faults.size()];
+      const auto time = static_cast<int64_t>(random() % 60'000);
+      world.InjectAfter(fault, millis(time));
+      injected.append(" ").append(fault).append("@").append(
+          std::to_string(time));
+    }
+    world.Run();
+    if (!world.problem().empty()) {
+      ++failed;
+      std::cout << "seed " << seed << " with" << injected << ": "
+                << world.problem()
+                << "\n  repeat with: CHIVEGLADE_SEED=" << seed
+                << " build/tests/matrix/matrix_test\n";
+    }
+  }
+  std::cout << "random faults: " << kRuns << " runs, failed " << failed << "\n";
+  CHECK(failed == 0);
+}
+
 }  // namespace chiveglade::testing
--- a/tests/matrix/matrix_world.cc
+++ b/tests/matrix/matrix_world.cc
@@ -51,7 +51,8 @@
 
 }  // namespace
 
-matrix_world::matrix_world(bool scored_planner) : scored_(scored_planner) {
+matrix_world::matrix_world(bool scored_planner, uint64_t seed)
+    : random_(seed), scored_(scored_planner) {
   AddEntry("e1");
   AddEntry("e2");
   for (const auto& [name, centre, rate] :
@@ -72,6 +73,10 @@
   fault_step_ = at;
 }
 
+void matrix_world::InjectAfter(const std::string& fault, millis time) {
+  At(began_ + time, [this, fault] { Begin(fault); });
+}
+
 void matrix_world::Fail(const std::string& what) {
   if (problem_.empty()) {
     problem_ =
--- a/tests/matrix/matrix_world.h
+++ b/tests/matrix/matrix_world.h
@@ -45,12 +45,15 @@
 
 class matrix_world {
  public:
-  explicit matrix_world(bool scored_planner);
+  explicit matrix_world(bool scored_planner, uint64_t seed = 20261204);
 
   // A fault by name: begins at the step and ends by itself. Names are those of
   // matrix_faults().
   void Inject(const std::string& fault, matrix_step at);
 
+  // The same at a time after the beginning of the run, any number of times.
+  void InjectAfter(const std::string& fault, millis time);
+
   // Runs the script: submit, take dc2 out, return it, until all work is done.
   void Run();
 
@@ -86,6 +89,7 @@
   void RestartVm(vm_process& vm);
   boot_time Local(const vm_process& vm) const;
   void Reached(matrix_step step);
+  void Begin(const std::string& fault);
   void Step();
   void Script();
   void TickEntries();
@@ -115,7 +119,7 @@
 
   boot_time now_{millis(10'000'000)};
   boot_time began_ = now_;
-  random_engine random_{20261204};
+  random_engine random_;
   bool scored_;
   memory_store store_;
   config::manifest manifest_;
