Test that delayed heartbeats prove nothing to a successor

Cause: a trial mutant that took any heartbeat as proof of absence passed. Change: a test with heartbeats from before the takeover; the mutant fails it.

--- a/tests/authority/fault_test.cc
+++ b/tests/authority/fault_test.cc
@@ -286,6 +286,28 @@
   CHECK(world.Beat(world.vm, *world.holder()).unknown == std::vector{first});
 }
 
+// Guards against an attempt that a successor declares lost because of delayed
+// heartbeats from before its start, and one that is never declared lost.
+TEST_CASE("absence counts only in heartbeats made after an answer") {
+  running_world world;
+  world.Kill("e1");
+  world.AddEntry("e2");
+  REQUIRE(world.PassUntilHeld());
+  test_vm older = world.vm;
+  older.running.clear();
+  for (int second = 0; second < 10; ++second) {
+    world.Pass(millis(1'000));
+    world.holder()->OnHeartbeat(world.Message(older));
+  }
+  CHECK(world.Task().phase == task_phase::kRunning);
+  CHECK(world.Task().attempt == 1);
+  world.vm.running.clear();
+  world.BeatFor(millis(4'000));
+  CHECK(world.Task().attempt == 1);
+  world.BeatFor(millis(4'000));
+  CHECK(world.Task().attempt == 2);
+}
+
 // Guards against a journal that grows without limit.
 TEST_CASE("records before the snapshot are deleted") {
   running_world world;
