Split housekeeping and test that jobs and VMs are forgotten in time

Cause: Housekeep held two unrelated loops and no test reached them. Change: RetireJobs and ForgetVms; a test that passes the times to keep.

--- a/include/chiveglade/authority/scheduler.h
+++ b/include/chiveglade/authority/scheduler.h
@@ -149,6 +149,8 @@
   void AbandonBatch();
   // Retires jobs and forgets VMs whose time to be kept has passed.
   void Housekeep(decision& round, boot_time now);
+  void RetireJobs(decision& round, boot_time now);
+  void ForgetVms(decision& round, boot_time now);
   void AppendRelease();
   void FinishRelease();
   void TakeSnapshot(boot_time now);
--- a/src/authority/scheduler_decide.cc
+++ b/src/authority/scheduler_decide.cc
@@ -20,6 +20,14 @@
 // Views of incarnations that were not heard from for this long are dropped.
 constexpr millis kViewKept{600'000};
 
+// Whether a task of the job is in a phase that `matches`.
+template <typename F>
+bool HasPhase(const state::job& owner, F matches) {
+  return std::any_of(
+      owner.tasks.begin(), owner.tasks.end(),
+      [&matches](const state::task& at) { return matches(at.phase); });
+}
+
 }  // namespace
 
 void scheduler::Hold(boot_time now) {
@@ -192,20 +200,27 @@
 }
 
 void scheduler::Housekeep(decision& round, boot_time now) {
+  RetireJobs(round, now);
+  ForgetVms(round, now);
+  if (now.time_since_epoch() > kViewKept) {
+    views_->DropOlder(now - kViewKept, [this](const state::vm_id& id) {
+      const state::vm* host = next_.FindVm(id.name);
+      return host && host->id == id;
+    });
+  }
+}
+
+void scheduler::RetireJobs(decision& round, boot_time now) {
   std::vector<std::string> retired;
   for (const auto& [name, owner] : next_.jobs()) {
-    const auto open = [](const state::task& at) {
-      return at.phase == state::task_phase::kPending || HoldsVm(at.phase);
-    };
     if (owner.spec.priority == state::band::kService ||
-        declared_.contains(name) ||
-        std::any_of(owner.tasks.begin(), owner.tasks.end(), open)) {
+        declared_.contains(name) || HasPhase(owner, [](auto phase) {
+          return phase == state::task_phase::kPending || HoldsVm(phase);
+        })) {
       continue;
     }
-    const bool failed = std::any_of(
-        owner.tasks.begin(), owner.tasks.end(), [](const state::task& at) {
-          return at.phase == state::task_phase::kFailed;
-        });
+    const bool failed = HasPhase(
+        owner, [](auto phase) { return phase == state::task_phase::kFailed; });
     const auto since = ended_since_.emplace(name, now).first->second;
     if (now >= since + (failed ? options_.failed_jobs_kept
                                : options_.ended_jobs_kept)) {
@@ -216,6 +231,9 @@
     ended_since_.erase(name);
     (void)round.Add(state::job_retired{name});
   }
+}
+
+void scheduler::ForgetVms(decision& round, boot_time now) {
   std::vector<state::vm_id> left;
   for (const auto& [name, host] : next_.vms()) {
     const vm_view* view = views_->Find(host.id);
@@ -227,12 +245,6 @@
   for (const auto& id : left) {
     (void)round.Add(state::vm_left{id});
   }
-  if (now.time_since_epoch() > kViewKept) {
-    views_->DropOlder(now - kViewKept, [this](const state::vm_id& id) {
-      const state::vm* host = next_.FindVm(id.name);
-      return host && host->id == id;
-    });
-  }
 }
 
 void scheduler::AppendRelease() {
--- a/tests/authority/scheduler_test.cc
+++ b/tests/authority/scheduler_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "chiveglade/authority/commands.h"
 #include "tests/authority/authority_world.h"
 
 namespace chiveglade::authority {
@@ -72,4 +73,34 @@
   CHECK(world.vm.running.size() == 1);
 }
 
+// Guards against a state that grows with every job that ever ran, and against a
+// declared job that is submitted again after its name was forgotten.
+TEST_CASE("ended jobs and VMs that left are forgotten in time") {
+  running_world world;
+  const auto attempt = *world.vm.running.begin();
+  state::job_spec job;
+  job.name = "once";
+  job.per_task = {100, 100, 0};
+  SendCommand(world.store.table(), SubmitJob("ann", job),
+              [](const command_outcome&) {});
+  world.BeatFor(millis(3'000));
+  const state::attempt_id once{{"once", 0}, 1};
+  REQUIRE(world.vm.running.contains(once));
+  for (const auto& id : {attempt, once}) {
+    world.vm.running.erase(id);
+    world.vm.ends[id] = {id, state::attempt_end::kFinished, "", {}, ""};
+  }
+  world.BeatFor(millis(2'000));
+  world.Pass(world.options.ended_jobs_kept + millis(2'000));
+  CHECK_FALSE(world.holder()->committed().FindJob("once"));
+  CHECK(world.holder()->committed().NameTaken("once"));
+  CHECK(world.Task().phase == state::task_phase::kFinished);
+  CHECK(world.holder()->JobJson("once").empty());
+  CHECK(world.holder()->StatusJson().find("\"finished\":1") !=
+        std::string::npos);
+  CHECK(world.holder()->committed().vms().size() == 1);
+  world.Pass(world.options.vms_kept);
+  CHECK(world.holder()->committed().vms().empty());
+}
+
 }  // namespace chiveglade::authority
