--- a/src/sched/demand_model.h
+++ b/src/sched/demand_model.h
@@ -16,15 +16,19 @@
  public:
   void Add(double ratio);
   // The 90th percentile, or 1 while there are too few samples.
-  double Percentile90() const;
+  double Percentile90() const { return percentile90_; }
 
   // For saving and loading.
   const std::array<float, 48>& buckets() const { return buckets_; }
   void set_buckets(const std::array<float, 48>& buckets);
 
  private:
+  void Update();
+
   std::array<float, 48> buckets_{};
   double total_ = 0;
+  double percentile90_ = 1;
+  uint32_t until_update_ = 0;
 };
 
 // Learns, per class, the 90th percentile of the ratio of measured to declared
@@ -46,11 +50,17 @@
   // The corrected run time; zero if none was declared.
   millis ExpectedRun(class_index klass, millis declared) const;
 
+  // Notes how much of the work since its checkpoint a stopped attempt lost.
+  void ObserveLoss(class_index klass, double share);
+  // Share of the work since the checkpoint that a stop is expected to lose.
+  double ExpectedLoss(class_index klass) const;
+
   struct entry {
     ratio_histogram cores;
     ratio_histogram memory;
     double run_ratio = 1;
     uint32_t run_samples = 0;
+    double loss_share = 0.25;  // a quarter until stops have been seen
   };
   const std::vector<entry>& entries() const { return entries_; }
   entry& At(class_index klass);
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -25,21 +25,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// True if both the declaration and the corrected demand fit. On a VM that is
-// smaller than the corrected demand the whole VM is enough.
-bool HasRoom(const placement_request& request,
-             const vm_slot& slot,
-             const vm_room& room) {
-  if (!FitsWithin(request.spec->per_task, room.free)) {
-    return false;
-  }
-  const resources wanted{
-      std::min(request.expected.millicores, slot.capacity.millicores),
-      std::min(request.expected.memory_mib, slot.capacity.memory_mib),
-      request.expected.accelerators};
-  return FitsWithin(wanted, room.free);
-}
-
 }  // namespace
 
 const char* ToString(obstacle what) {
@@ -73,6 +58,22 @@
       pacer_(pacer),
       random_(random) {}
 
+resources placement::Wanted(const placement_request& request,
+                            const vm_slot& slot) {
+  return {std::min(request.expected.millicores, slot.capacity.millicores),
+          std::min(request.expected.memory_mib, slot.capacity.memory_mib),
+          request.expected.accelerators};
+}
+
+// Both the declaration and the corrected demand must fit. On a VM that is
+// smaller than the corrected demand, the whole VM is enough.
+bool placement::HasRoom(const placement_request& request,
+                        const vm_slot& slot,
+                        const vm_room& room) {
+  return FitsWithin(request.spec->per_task, room.free) &&
+         FitsWithin(Wanted(request, slot), room.free);
+}
+
 size_t placement::RandomStart() const {
   return random_() % std::max<size_t>(1, index_.slots().size());
 }
@@ -110,14 +111,14 @@
       best.why = best.slot == nullptr ? std::min(best.why, why) : best.why;
       continue;
     }
-    if (!Tolerable(request, slot, now)) {
+    if (!Tolerable(request, slot)) {
       best.why = best.slot == nullptr
                      ? std::min(best.why, obstacle::kInterference)
                      : best.why;
       continue;
     }
     ++seen;
-    const double score = Score(request, slot, now);
+    const double score = Score(request, slot);
     if (best.slot == nullptr || score < best_score) {
       best = {&slot, obstacle::kNone};
       best_score = score;
@@ -184,24 +185,21 @@
          index_.RampAllows(slot.data_centre, spec.per_task);
 }
 
-bool placement::TrialAllowed(class_index victim,
-                             const vm_slot& slot,
-                             boot_time now) const {
+bool placement::TrialAllowed(class_index victim, const vm_slot& slot) const {
   if (classes_.at(victim).slowdown_limit_pct <= options_.strict_limit_pct) {
     return false;
   }
   return std::none_of(slot.residents.begin(), slot.residents.end(),
                       [&](const resident& other) {
                         return !classes_.at(other.klass).latency_critical &&
-                               !model_.Known(victim, other.klass, now);
+                               !model_.Known(victim, other.klass);
                       });
 }
 
 bool placement::Tolerable(const placement_request& request,
                           const vm_slot& slot,
-                          boot_time now) const {
-  if (options_.interference == interference_rule::kIgnore ||
-      options_.placement != placement_rule::kScored ||
+                          bool urgent) const {
+  if (!UsesPairs() || options_.placement != placement_rule::kScored ||
       request.spec->priority == state::band::kService) {
     return true;
   }
@@ -210,36 +208,46 @@
     if (!victim_class.latency_critical) {
       continue;
     }
-    if (!model_.Known(victim.klass, request.klass, now) &&
-        !TrialAllowed(victim.klass, slot, now)) {
+    if (!model_.Known(victim.klass, request.klass) &&
+        !TrialAllowed(victim.klass, slot)) {
       return false;
     }
-    double slowdown = 1 + model_.Effect(victim.klass, request.klass, now);
+    double slowdown = 1 + model_.Effect(victim.klass, request.klass);
     for (const auto& other : slot.residents) {
       if (&other != &victim) {
-        slowdown += model_.Effect(victim.klass, other.klass, now);
+        slowdown += model_.Effect(victim.klass, other.klass);
       }
     }
-    if (slowdown * 100 >
-        options_.placement_margin * victim_class.slowdown_limit_pct) {
+    if (!urgent && slowdown * 100 > options_.placement_margin *
+                                        victim_class.slowdown_limit_pct) {
       return false;
     }
   }
   return true;
 }
 
+bool placement::UsesPairs() const {
+  return options_.interference == interference_rule::kLearned ||
+         options_.interference == interference_rule::kEvictAtOnce;
+}
+
+double placement::Harm(class_index victim, class_index neighbour) const {
+  return UsesPairs() && classes_.at(victim).latency_critical
+             ? model_.Effect(victim, neighbour)
+             : 0;
+}
+
 double placement::AddedSlowdown(const placement_request& request,
-                                const vm_slot& slot,
-                                boot_time now) const {
-  const bool critical = classes_.at(request.klass).latency_critical;
+                                const vm_slot& slot) const {
+  if (!UsesPairs()) {
+    return 0;
+  }
   double added = 0;
   for (const auto& other : slot.residents) {
     if (classes_.at(other.klass).latency_critical) {
-      added += model_.Effect(other.klass, request.klass, now);
-    }
-    if (critical) {
-      added += model_.Effect(request.klass, other.klass, now);
+      added += model_.Effect(other.klass, request.klass);
     }
+    added += Harm(request.klass, other.klass);
   }
   return added;
 }
@@ -259,8 +267,7 @@
 }
 
 double placement::Score(const placement_request& request,
-                        const vm_slot& slot,
-                        boot_time now) const {
+                        const vm_slot& slot) const {
   const auto& free = index_.rooms()[index_.Position(slot)].free;
   const resources after = free - request.spec->per_task;
   const double cores = Left(after.millicores, slot.capacity.millicores);
@@ -277,9 +284,7 @@
     score += kAcceleratorWeight *
              Left(free.accelerators, slot.capacity.accelerators);
   }
-  if (options_.interference != interference_rule::kIgnore) {
-    score += kSlowdownWeight * AddedSlowdown(request, slot, now);
-  }
+  score += kSlowdownWeight * AddedSlowdown(request, slot);
   return score + kSpreadWeight * SpreadPenalty(request, slot);
 }
 
--- a/src/sched/preemption.cc
+++ b/src/sched/preemption.cc
@@ -10,19 +10,40 @@
 // Added cost of a higher band, so that idle work goes before normal work.
 constexpr double kBandCostMs = 60'000;
 
-resources Uncommitted(const vm_slot& slot) {
-  return slot.capacity - slot.held - slot.committed;
-}
+// Time over which slowdowns are weighed against lost work.
+constexpr double kHarmHorizonMs = 120'000;
+
+// Room of a VM by declarations and by corrected demands.
+struct room_balance {
+  resources declared;
+  resources expected;
+
+  void Free(const resident& leaving) {
+    declared += leaving.declared;
+    expected += leaving.expected;
+  }
+  void Take(const resident& staying) {
+    declared -= staying.declared;
+    expected -= staying.expected;
+  }
+  bool Holds(const resources& need, const resources& wanted) const {
+    return FitsWithin(need, declared) && FitsWithin(wanted, expected);
+  }
+};
 
 }  // namespace
 
-double EvictionCost(const resident& victim) {
+double WorkLost(const resident& victim) {
   const auto lost = std::max(
       0.0,
       static_cast<double>((victim.work_done - victim.checkpointed).count()));
+  return (lost * victim.loss_share + kRestartCostMs) * (1 + victim.evictions);
+}
+
+double EvictionCost(const resident& victim) {
   const double band = static_cast<double>(state::band::kIdle) -
                       static_cast<double>(victim.priority);
-  return (lost + kRestartCostMs) * (1 + victim.evictions) + band * kBandCostMs;
+  return WorkLost(victim) + band * kBandCostMs;
 }
 
 preemption::preemption(const planner_options& options,
@@ -31,47 +52,68 @@
                        hold_table& holds)
     : options_(options), index_(index), places_(places), holds_(holds) {}
 
-std::optional<std::vector<resident*>>
-preemption::Victims(vm_slot& slot, const resources& amount, state::band taker) {
-  resources free = Uncommitted(slot);
+std::optional<std::vector<resident*>> preemption::Victims(
+    vm_slot& slot,
+    const resources& declared,
+    const resources& wanted,
+    state::band taker,
+    const std::function<double(const resident&)>& cost) {
+  room_balance room{slot.capacity - slot.held - slot.committed,
+                    slot.capacity - slot.held - slot.expected};
   std::vector<resident*> lower;
   for (auto& other : slot.residents) {
     if (other.stopping) {
-      free += other.declared;
+      room.Free(other);
     } else if (MayEvict(taker, other.priority)) {
       lower.push_back(&other);
     }
   }
-  std::sort(lower.begin(), lower.end(), [](const auto* a, const auto* b) {
-    return EvictionCost(*a) < EvictionCost(*b);
-  });
-  std::vector<resident*> chosen;
+  std::vector<std::pair<double, resident*>> ordered;
+  ordered.reserve(lower.size());
   for (auto* victim : lower) {
-    if (FitsWithin(amount, free)) {
+    ordered.emplace_back(cost(*victim), victim);
+  }
+  std::stable_sort(
+      ordered.begin(), ordered.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<resident*> chosen;
+  for (const auto& [price, victim] : ordered) {
+    if (room.Holds(declared, wanted)) {
       break;
     }
-    free += victim->declared;
+    room.Free(*victim);
     chosen.push_back(victim);
   }
-  if (!FitsWithin(amount, free)) {
+  if (!room.Holds(declared, wanted)) {
     return std::nullopt;
   }
   // A later, larger victim may have made an earlier one needless.
   for (size_t i = chosen.size(); i-- > 0;) {
-    const auto without = free - chosen[i]->declared;
-    if (FitsWithin(amount, without)) {
-      free = without;
+    auto without = room;
+    without.Take(*chosen[i]);
+    if (without.Holds(declared, wanted)) {
+      room = without;
       chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
     }
   }
   return chosen;
 }
 
+double preemption::CostFor(const placement_request& taker,
+                           const resident& victim) const {
+  return EvictionCost(victim) -
+         places_.Harm(taker.klass, victim.klass) * kHarmHorizonMs;
+}
+
 bool preemption::MakeRoom(const placement_request& request,
                           const state::task_id& task,
                           bool moving,
                           plan_draft& draft) {
   const auto& amount = request.spec->per_task;
+  const bool urgent = request.spec->priority == state::band::kUrgent;
+  const auto price = [&](const resident& victim) {
+    return CostFor(request, victim);
+  };
   vm_slot* best = nullptr;
   std::vector<resident*> best_victims;
   double best_cost = 0;
@@ -81,20 +123,28 @@
   const size_t stride = places_.Stride();
   for (size_t i = 0; i < count && seen < options_.candidates; ++i) {
     position = (position + stride) % count;
+    const auto& room = index_.rooms()[position];
+    if (!room.startable ||
+        !FitsWithin(
+            amount,
+            room.reclaimable[static_cast<size_t>(request.spec->priority)])) {
+      continue;
+    }
     auto& slot = index_.slots()[position];
     obstacle why = obstacle::kNone;
-    if (!FitsWithin(amount, slot.capacity) ||
-        !places_.Permits(request, slot, draft.now(), why)) {
+    if (!places_.Permits(request, slot, draft.now(), why) ||
+        !places_.Tolerable(request, slot, urgent)) {
       continue;
     }
-    auto victims = Victims(slot, amount, request.spec->priority);
+    auto victims = Victims(slot, amount, placement::Wanted(request, slot),
+                           request.spec->priority, price);
     if (!victims) {
       continue;
     }
     ++seen;
-    double cost = 0;
+    double cost = places_.AddedSlowdown(request, slot) * kHarmHorizonMs;
     for (const auto* victim : *victims) {
-      cost += EvictionCost(*victim);
+      cost += CostFor(request, *victim);
     }
     if (best == nullptr || cost < best_cost) {
       best = &slot;
--- a/src/sched/vm_index.h
+++ b/src/sched/vm_index.h
@@ -25,6 +25,7 @@
   millis checkpointed{0};  // work in the newest checkpoint
   boot_time first_seen{};
   uint32_t evictions = 0;  // of the task
+  double loss_share = 1;   // of the work since the checkpoint, if stopped
   bool stopping = false;   // asked to stop, also by the current plan
 };
 
@@ -47,6 +48,7 @@
   bool quarantined = false;
   bool reserved = false;  // by backfill: only idle work may start
   bool dirty = true;      // residents must be read again
+  bool stale = true;      // the packed room must be computed again
 };
 
 // The part of a slot that a search looks at first, packed for speed.
@@ -54,6 +56,9 @@
   resources free{};  // by declaration and by corrected demand
   uint16_t data_centre = 0;
   bool startable = false;
+  // Most that evictions could leave free for the bands service, urgent and
+  // normal, by declaration.
+  resources reclaimable[3]{};
 };
 
 struct data_centre_slot {
