Keep targets across changes of other services; refuse hosts that HTTP/2 rejects

Cause: a heartbeat with another set of services replaced every target of the VM, which forgot its failures and open requests. A Host header that is not a valid :authority made the agent's side reset the stream, so that one caller could have targets ejected and was told may_have_run.

Change: targets of services that are still there are kept. The front refuses such hosts, more than one Host, and CONNECT, with not_run. Refusals with not_run and status 504 carry Retry-After too. An agent takes at most 24 KiB of answer headers, below the limit of the HTTP/2 connection that they are sent on.

Ruled out: passing a placeholder as :authority; services may look at it.

--- a/include/chiveglade/routing/agent_proxy.h
+++ b/include/chiveglade/routing/agent_proxy.h
@@ -28,7 +28,8 @@
   // After this long without progress towards the entry, the slot goes to the
   // next request: the replica has answered and only the reader is slow.
   millis slow_reader{500};
-  size_t max_header_bytes = 65'536;  // of answers
+  // Of answers; below the limit of the HTTP/2 connection to the entry.
+  size_t max_header_bytes = 24'576;
   friend bool operator==(const proxy_options&, const proxy_options&) = default;
 };
 
--- a/include/chiveglade/routing/target_directory.h
+++ b/include/chiveglade/routing/target_directory.h
@@ -109,7 +109,9 @@
   bool IsLocal(const target& at) const;
   std::shared_ptr<service_health> HealthOf(const std::string& service);
   // These need the write lock of the VM's record.
-  void Rebuild(const state::heartbeat& in, vm_entry& entry);
+  void ReplaceRecord(const state::heartbeat& in, vm_entry& entry);
+  // Keeps the targets, with their health, of services that are still there.
+  void ReplaceTargets(const state::heartbeat& in, vm_entry& entry);
   void Remove(vm_entry& entry);
   void Link(const target_ptr& added);
   void Unlink(const target_ptr& removed);
--- a/src/routing/forwarder.cc
+++ b/src/routing/forwarder.cc
@@ -1,6 +1,7 @@
 #include "forwarder.h"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,6 +26,16 @@
                      [](char c) { return c > ' ' && c < 0x7f; });
 }
 
+// Whether the receiver of an HTTP/2 request accepts the host as :authority. One
+// that it does not accept would look like a fault of the target.
+bool IsHost(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 ||
+           std::string_view("-._~:[]").find(static_cast<char>(c)) !=
+               std::string_view::npos;
+  });
+}
+
 std::string MakeId(const front_state& front) {
   constexpr char kDigits[] = "0123456789abcdef";
   std::string out = front.options().entry + "-";
@@ -100,6 +111,14 @@
     return refusal{400, verdict::kNotRun, path.last_reason().code,
                    path.last_reason().detail};
   }
+  if (caller_.fields().count("host") > 1 || !IsHost(caller_.Field("host"))) {
+    return refusal{400, verdict::kNotRun, "bad_host",
+                   "Host must be one name or address"};
+  }
+  if (caller_.method() == "CONNECT") {
+    return refusal{400, verdict::kNotRun, "bad_method",
+                   "CONNECT is not accepted"};
+  }
   if (caller_.has_unknown_encoding()) {
     return refusal{501, verdict::kNotRun, "bad_encoding",
                    "only chunked transfer encoding is accepted"};
@@ -362,6 +381,8 @@
   }
   if (out.status == 502 && ran_ == verdict::kNotRun) {
     out.status = 503;
+  }
+  if (out.status >= 503 && ran_ == verdict::kNotRun) {
     out.retry_after_s = kOverloadRetryS;
   }
   return out;
--- a/src/routing/target_directory.cc
+++ b/src/routing/target_directory.cc
@@ -122,9 +122,11 @@
   }
   entry.tick = in.tick;
   if (!same_vm || entry.record->address != in.address ||
-      entry.record->data_centre != in.data_centre ||
-      !SameTargets(entry.targets, in.targets)) {
-    Rebuild(in, entry);
+      entry.record->data_centre != in.data_centre) {
+    ReplaceRecord(in, entry);
+  }
+  if (!SameTargets(entry.targets, in.targets)) {
+    ReplaceTargets(in, entry);
   }
   for (size_t i = 0; i < entry.targets.size(); ++i) {
     entry.targets[i]->SetLoad(in.targets[i]);
@@ -133,29 +135,44 @@
   entry.record->last_seen_ms = clock_().time_since_epoch().count();
 }
 
-void target_directory::Rebuild(const state::heartbeat& in, vm_entry& entry) {
+void target_directory::ReplaceRecord(const state::heartbeat& in,
+                                     vm_entry& entry) {
   Remove(entry);
   auto record = std::make_shared<vm_record>();
   record->name = in.vm.name;
   record->data_centre = in.data_centre;
   record->address = in.address;
-  {
-    const std::lock_guard lock(members_mutex_);
-    record->out = out_.vms.count(record->name) != 0 ||
-                  out_.data_centres.count(record->data_centre) != 0;
-    members_[record->name] = record;
-  }
-  entry.record = record;
+  record->leaving = in.leaving;
+  record->last_seen_ms = clock_().time_since_epoch().count();
+  const std::lock_guard lock(members_mutex_);
+  record->out = out_.vms.count(record->name) != 0 ||
+                out_.data_centres.count(record->data_centre) != 0;
+  members_[record->name] = record;
+  entry.record = std::move(record);
+}
+
+void target_directory::ReplaceTargets(const state::heartbeat& in,
+                                      vm_entry& entry) {
   const ejection_rule rule{options_.failures_to_eject, options_.first_ejection,
                            options_.longest_ejection};
+  std::vector<target_ptr> before;
+  before.swap(entry.targets);
   for (const auto& load : in.targets) {
+    const auto kept = std::find_if(
+        before.begin(), before.end(),
+        [&](const auto& each) { return each->service() == load.service; });
+    if (kept != before.end()) {
+      entry.targets.push_back(*kept);
+      before.erase(kept);
+      continue;
+    }
     entry.targets.push_back(std::make_shared<target>(
-        load.service, record, HealthOf(load.service), rule));
+        load.service, entry.record, HealthOf(load.service), rule));
     entry.targets.back()->SetLoad(load);
+    Link(entry.targets.back());
   }
-  record->last_seen_ms = clock_().time_since_epoch().count();
-  for (const auto& each : entry.targets) {
-    Link(each);
+  for (const auto& gone : before) {
+    Unlink(gone);
   }
 }
 
--- a/tests/routing/request_front_test.cc
+++ b/tests/routing/request_front_test.cc
@@ -208,6 +208,13 @@
     CHECK(Says(Ask("nonsense\r\n\r\n", yield), "400", "not_run", "malformed"));
     CHECK(Says(Ask("GET /a HTTP/1.1\r\nbad header\r\n\r\n", yield), "400"));
     CHECK(Says(Get("/a/../b", yield), "400", "not_run", "bad_target"));
+    CHECK(Says(
+        Ask("GET /a HTTP/1.1\r\nhost: a b\r\nconnection: close\r\n\r\n", yield),
+        "400", "not_run", "bad_host"));
+    CHECK(Says(Ask("GET /a" + h + "host: i\r\n\r\n", yield), "400", "not_run",
+               "bad_host"));
+    CHECK(Says(Ask("CONNECT /a" + h + "\r\n", yield), "400", "not_run",
+               "bad_method"));
     CHECK(Says(Get("/tasks/start", yield), "404", "not_run", "no_route"));
     CHECK(Says(Ask("GET /" + std::string(20'000, 'a') + h + "\r\n", yield),
                "431", "not_run", "header_too_large"));
--- a/tests/routing/target_directory_test.cc
+++ b/tests/routing/target_directory_test.cc
@@ -94,6 +94,21 @@
   CHECK(Chosen(10).size() == 1);
 }
 
+// Guards against open requests and failures that are forgotten because another
+// service starts or stops on the same VM.
+TEST_CASE_METHOD(fixture, "targets survive changes of other services") {
+  directory->OnHeartbeat(Beat("a"));
+  const auto open = directory->Choose("s", {}, random);
+  auto more = Beat("a");
+  more.targets.insert(more.targets.begin(), {"r", 4});
+  directory->OnHeartbeat(more);
+  CHECK(directory->Status("s").at(0).open == 1);
+  CHECK(directory->Status("r").size() == 1);
+  directory->OnHeartbeat(Beat("a"));
+  CHECK(directory->Status("s").at(0).open == 1);
+  CHECK(directory->Status("r").empty());
+}
+
 // Guards against load that piles up on few targets, and against own requests
 // that are not counted until the next heartbeat.
 TEST_CASE_METHOD(fixture, "open requests spread over the targets") {
