--- a/tools/worker_standin/task_table.cc
+++ b/tools/worker_standin/task_table.cc
@@ -187,6 +187,13 @@
 
 void task_table::CheckEnd(entry& what, boot_time now) {
   auto& task = what.task;
+  // Work is only counted up to the end of the lease.
+  if (!what.serves && !what.payload.never_ends &&
+      what.work_ms >= static_cast<double>(what.payload.run.count())) {
+    EndTask(what, what.fails ? worker_state::kFailed : worker_state::kFinished,
+            what.fails ? "failed as its payload says" : "", now);
+    return;
+  }
   if (now >= task.lease_until) {
     EndTask(what, worker_state::kLapsed, "the lease was not renewed",
             task.lease_until);
@@ -207,12 +214,6 @@
   }
   if (stopping && (!what.checkpoint_wanted || what.restoring)) {
     EndTask(what, worker_state::kStopped, "stopped after a checkpoint", now);
-    return;
-  }
-  if (!what.payload.never_ends &&
-      what.work_ms >= static_cast<double>(what.payload.run.count())) {
-    EndTask(what, what.fails ? worker_state::kFailed : worker_state::kFinished,
-            what.fails ? "failed as its payload says" : "", now);
   }
 }
 
