Let lists be delayed on their way back in the agent's property test

Cause: a list answered before a start and delivered after it could end the attempt; the simulated worker answered lists at once. Change: the answer of a list may be held while other messages pass.

--- a/tests/agent/agent_world.cc
+++ b/tests/agent/agent_world.cc
@@ -83,7 +83,7 @@
 
 void agent_world::TickAgent() {
   for (auto& call : core_->Tick()) {
-    calls_.push_back({std::move(call), process_, false});
+    calls_.push_back({std::move(call), process_, false, std::nullopt});
   }
 }
 
@@ -100,6 +100,10 @@
     what.told = true;
     return;
   }
+  if (fate >= 6 && what.call.kind == worker_call_kind::kList && !what.listing) {
+    what.listing = {worker_.boot(), worker_.List(now_)};
+    return;
+  }
   if (fate == 1) {
     if (!what.told && what.process == process_) {
       core_->OnWorkerCall(what.call, {worker_call_status::kUnknown, {}});
@@ -122,9 +126,10 @@
       core_->OnWorkerCall(what.call, {worker_call_status::kUnknown, {}});
       return;
     }
-    const auto tasks = worker_.List(now_);
-    core_->OnWorkerBoot(worker_.boot());
-    core_->OnWorkerTasks(tasks);
+    const auto listing = what.listing.value_or(
+        agent::worker_listing{worker_.boot(), worker_.List(now_)});
+    core_->OnWorkerBoot(listing.boot);
+    core_->OnWorkerTasks(listing.tasks);
     return;
   }
   auto outcome = worker_.Handle(what.call, now_);
--- a/tests/agent/agent_world.h
+++ b/tests/agent/agent_world.h
@@ -6,10 +6,12 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "chiveglade/agent/agent_core.h"
+#include "chiveglade/agent/worker_codec.h"
 #include "chiveglade/core/random.h"
 #include "fake_worker.h"
 
@@ -59,6 +61,8 @@
     agent::worker_call call;
     uint64_t process = 0;  // agent process that made it
     bool told = false;     // the agent already has an outcome
+    // The answer of a list call that is on its way back.
+    std::optional<agent::worker_listing> listing;
   };
   struct answer_in_flight {
     state::heartbeat asked;
