Show a start under way only once its order has expired

Cause: the core showed a start with unknown outcome at once, which the scheduler would take for a confirmed start; removing the rule about reported attempts from grants left the tests green. Change: the time from which it is shown follows the order's tick; both rules have tests that fail without them.

--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -75,8 +75,8 @@
                        record.phase == attempt_phase::kStopping;
     // Once its order has expired, the scheduler takes an attempt that is not
     // reported for one that never ran.
-    const bool unsettled = record.phase == attempt_phase::kStarting &&
-                           now >= record.not_after - kStartCallLimit;
+    const bool unsettled =
+        record.phase == attempt_phase::kStarting && now >= record.order_expires;
     if (known || unsettled) {
       out.attempts.push_back(record.report);
     } else if (record.phase == attempt_phase::kEnded && !record.acknowledged) {
--- a/src/agent/agent_core_answer.cc
+++ b/src/agent/agent_core_answer.cc
@@ -106,6 +106,7 @@
   // The tick precedes the append that granted the attempt, and every authority
   // counts the lease from that append or later.
   record.grant_until = tick + record.run_lease;
+  record.order_expires = tick + state::kStartValidity;
   record.hard_at = boot_time::max();
   record.report.attempt = order.attempt;
   if (ready_ && (tick > now || now >= tick + state::kStartValidity)) {
--- a/src/agent/ledger.h
+++ b/src/agent/ledger.h
@@ -34,6 +34,7 @@
   boot_time lease_until{};      // as the worker confirmed it
   state::start_order order;     // kOrdered only
   boot_time not_after{};        // kStarting: the start call expires then
+  boot_time order_expires{};    // the scheduler takes it for not run then
   boot_time confirmed_at{};     // a list requested from then on must hold it
   bool call_open = false;       // a call about it has no outcome yet
   bool listed = false;          // in the newest list
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -134,22 +134,47 @@
 TEST_CASE("a grant extends only what the answered heartbeat reported") {
   fixture at;
   at.MakeReady();
+  const auto ordered = at.now;
+  at.Order(at.Order("a"));
+  auto calls = at.Tick();
+  REQUIRE(calls.size() == 1);
+  at.now += millis(1'000);
   const auto before = at.core->MakeHeartbeat();
-  (void)at.Run("a");
-  at.now += millis(30'000);
+  CHECK(before.attempts.empty());  // its start is not confirmed
+  at.core->OnWorkerCall(calls[0], {worker_call_status::kDone, {}});
+  at.now += millis(9'000);
+  auto asked = at.core->MakeHeartbeat();
+  CHECK(asked.attempts.size() == 1);
   state::heartbeat_answer answer;
   answer.epoch = 1;
   answer.grants = true;
   at.core->OnAnswer(before, answer);
-  auto asked = at.core->MakeHeartbeat();
-  answer.append_age = millis(10'000);
-  at.core->OnAnswer(asked, answer);
-  const auto calls = at.Tick();
+  calls = at.Tick();
   REQUIRE(calls.size() == 1);
   REQUIRE(calls[0].kind == worker_call_kind::kRenew);
-  // From the tick of the answered heartbeat, less the age of the append.
-  CHECK(calls[0].renewals[0].grant_until == at.now + millis(50'000));
+  CHECK(calls[0].renewals[0].grant_until == ordered + millis(60'000));
   CHECK(calls[0].renewals[0].lease_until == at.now + millis(10'000));
+  at.core->OnWorkerCall(calls[0], {worker_call_status::kDone, {}});
+  // From the tick of the answered heartbeat, less the age of the append.
+  answer.append_age = millis(2'000);
+  at.core->OnAnswer(asked, answer);
+  at.now += millis(5'000);
+  calls = at.Tick();
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].renewals[0].grant_until == ordered + millis(68'000));
+}
+
+// Guards against an attempt that the scheduler takes for one that never ran
+// while its start is not settled.
+TEST_CASE("an unsettled start is shown once its order has expired") {
+  fixture at;
+  at.MakeReady();
+  at.Order(at.Order("a"));
+  REQUIRE(at.Tick().size() == 1);
+  at.now += state::kStartValidity - millis(1);
+  CHECK(at.core->MakeHeartbeat().attempts.empty());
+  at.now += millis(1);
+  CHECK(at.core->MakeHeartbeat().attempts.size() == 1);
 }
 
 // Guards against a grant that is forgotten with the agent process.
