Make the routing sources clean under clang-tidy

Cause: clang-tidy reported a possible division by zero and a name in the load generator, a moved-from socket in the test worker, and, as a false positive, an empty executor in the callback of WaitFor.

Change: the callback keeps handler and work guard together and takes the executor from the guard, which also keeps the executor's copy out of each callback. The total weight of a mix is asserted.

Ruled out: a NOLINT, since the report is inside a header of Boost.

--- a/src/routing/callback_wait.h
+++ b/src/routing/callback_wait.h
@@ -19,13 +19,22 @@
 T WaitFor(net::yield yield, Start start) {
   return net::asio::async_initiate<net::yield, void(T)>(
       [](auto handler, Start run) {
-        auto kept = std::make_shared<decltype(handler)>(std::move(handler));
-        const auto executor = net::asio::get_associated_executor(*kept);
-        run([kept, executor,
-             work = net::asio::make_work_guard(executor)](T value) {
-          net::asio::post(executor, [kept, value = std::move(value)]() mutable {
-            std::move (*kept)(std::move(value));
-          });
+        using handler_type = decltype(handler);
+        struct waiting {
+          explicit waiting(handler_type of)
+              : work(net::asio::get_associated_executor(of)),
+                handler(std::move(of)) {}
+          net::asio::executor_work_guard<
+              net::asio::associated_executor_t<handler_type>>
+              work;
+          handler_type handler;
+        };
+        auto kept = std::make_shared<waiting>(std::move(handler));
+        run([kept](T value) {
+          net::asio::post(kept->work.get_executor(),
+                          [kept, value = std::move(value)]() mutable {
+                            std::move(kept->handler)(std::move(value));
+                          });
         });
       },
       yield, std::move(start));
--- a/tests/routing/request_path.h
+++ b/tests/routing/request_path.h
@@ -51,8 +51,9 @@
           if (error) {
             return;
           }
+          const auto strand = socket.get_executor();
           asio::spawn(
-              socket.get_executor(),
+              strand,
               [this, kept = std::make_shared<tcp::socket>(std::move(socket))](
                   const net::yield& yield) { Serve(*kept, yield); },
               asio::detached);
--- a/tools/load/mix.cc
+++ b/tools/load/mix.cc
@@ -1,5 +1,6 @@
 #include "tools/load/mix.h"
 
+#include <cassert>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -13,10 +14,10 @@
 constexpr size_t kMaxBodyBytes = 64 << 20;
 
 request_kind KindFrom(const json& in) {
-  static const std::set<std::string> kNames = {"method",     "path", "class",
-                                               "body_bytes", "key",  "weight"};
+  static const std::set<std::string> names = {"method",     "path", "class",
+                                              "body_bytes", "key",  "weight"};
   for (const auto& [name, value] : in.items()) {
-    if (kNames.count(name) == 0) {
+    if (names.count(name) == 0) {
       throw std::invalid_argument("unknown member " + name);
     }
   }
@@ -57,6 +58,7 @@
   for (const auto& each : in) {
     total += each.weight;
   }
+  assert(total > 0);
   // A step that is coprime to most totals spreads the kinds over time.
   uint64_t left = number * 7'919 % total;
   for (const auto& each : in) {
