Take coroutine contexts by reference in the tests of routing

Cause: clang-tidy reports a copy for each parameter by value.

Change: const references; the large answer of one test is made with resize.

--- a/tests/routing/agent_proxy_test.cc
+++ b/tests/routing/agent_proxy_test.cc
@@ -41,14 +41,14 @@
   bool before_body = false;  // the worker does not wait for the body
   // Writes the answer to one request; false closes the connection.
   std::function<bool(const request&, tcp::socket&, net::yield)> worker =
-      [](const request& got, tcp::socket& socket, net::yield yield) {
+      [](const request& got, tcp::socket& socket, const net::yield& yield) {
         return Reply(socket, "", std::string(got.target()) + got.body(), yield);
       };
 
   static bool Reply(tcp::socket& socket,
                     const std::string& fields,
                     const std::string& body,
-                    net::yield yield) {
+                    const net::yield& yield) {
     boost::system::error_code error;
     asio::async_write(
         socket,
@@ -71,11 +71,12 @@
          boot_clock::now});
     entry = std::make_shared<testing::memory_client>(loop, proxy->Handler());
     asio::spawn(
-        loop, [this](net::yield yield) { Accept(yield); }, asio::detached);
+        loop, [this](const net::yield& yield) { Accept(yield); },
+        asio::detached);
     bool ended = false;
     asio::spawn(
         loop,
-        [&](net::yield yield) {
+        [&](const net::yield& yield) {
           body(yield);
           ended = true;
           boost::system::error_code ignored;
@@ -89,7 +90,7 @@
     CHECK(ended);
   }
 
-  void Accept(net::yield yield) {
+  void Accept(const net::yield& yield) {
     for (;;) {
       tcp::socket socket(loop);
       boost::system::error_code error;
@@ -101,12 +102,12 @@
       asio::spawn(
           loop,
           [this, kept = std::make_shared<tcp::socket>(std::move(socket))](
-              net::yield inner) { Serve(*kept, inner); },
+              const net::yield& inner) { Serve(*kept, inner); },
           asio::detached);
     }
   }
 
-  void Serve(tcp::socket& socket, net::yield yield) {
+  void Serve(tcp::socket& socket, const net::yield& yield) {
     boost::beast::flat_buffer buffer;
     for (;;) {
       http::request_parser<http::string_body> parser;
@@ -131,7 +132,7 @@
 
   net::h2_stream_ptr Open(const std::string& path,
                           bool end,
-                          net::yield yield,
+                          const net::yield& yield,
                           const std::string& deadline = "10000",
                           const std::string& klass = "normal") {
     return *entry->Open({{":method", "POST"},
@@ -143,7 +144,7 @@
                          {"chiveglade-deadline-ms", deadline}},
                         end, yield);
   }
-  static answer Read(net::h2_stream& stream, net::yield yield) {
+  static answer Read(net::h2_stream& stream, const net::yield& yield) {
     answer out;
     const auto head = stream.ReadHeaders(yield);
     if (!head) {
@@ -165,7 +166,7 @@
   }
   answer Ask(const std::string& path,
              const std::string& body,
-             net::yield yield,
+             const net::yield& yield,
              const std::string& deadline = "10000",
              const std::string& klass = "normal") {
     const auto stream = Open(path, body.empty(), yield, deadline, klass);
@@ -189,11 +190,12 @@
 TEST_CASE_METHOD(proxy_fixture, "requests pass to the worker and back") {
   std::string seen_service;
   const auto echo = worker;
-  worker = [&](const request& got, tcp::socket& socket, net::yield yield) {
+  worker = [&](const request& got, tcp::socket& socket,
+               const net::yield& yield) {
     seen_service = std::string(got["chiveglade-service"]);
     return echo(got, socket, yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CHECK(proxy->Load() == std::vector<state::target_load>{{"s", 8}});
     const auto got = Ask("/a?b", "body", yield);
     CHECK(got.status == 200);
@@ -208,11 +210,11 @@
     CHECK(load->slots == 8);
     CHECK(Ask("/b", "", yield).body == "/b");
     CHECK(accepted == 1);
-    worker = [](const request&, tcp::socket& socket, net::yield inner) {
+    worker = [](const request&, tcp::socket& socket, const net::yield& inner) {
       return Reply(socket, "chiveglade-verdict: not_run\r\n", "x", inner);
     };
     CHECK(Ask("/c", "", yield).verdict.empty());
-    worker = [](const request&, tcp::socket& socket, net::yield inner) {
+    worker = [](const request&, tcp::socket& socket, const net::yield& inner) {
       return Reply(socket, "", "x", inner) && false;
     };
     Ask("/closed-after", "", yield);
@@ -229,7 +231,7 @@
 TEST_CASE_METHOD(proxy_fixture, "refusals are not_run and reach no worker") {
   manifest.request_classes[0].queue_limit = 0;
   manifest.services[0].slots = 1;
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CheckRefused(Ask("/tasks/start", "x", yield), "not_run", "bad_target");
     CheckRefused(Ask("/a", "", yield, "0"), "not_run", "deadline");
     CheckRefused(Ask("/a", "", yield, "9", "none"), "not_run", "unknown_class");
@@ -256,14 +258,16 @@
 // Guards against not_run after a byte was sent, and against may_have_run where
 // none was.
 TEST_CASE_METHOD(proxy_fixture, "lost workers have the right verdict") {
-  Run([&](net::yield yield) {
-    worker = [](const request&, tcp::socket&, net::yield) { return false; };
+  Run([&](const net::yield& yield) {
+    worker = [](const request&, tcp::socket&, const net::yield&) {
+      return false;
+    };
     CheckRefused(Ask("/a", "b", yield), "may_have_run", "worker_lost");
-    worker = [](const request&, tcp::socket& socket, net::yield inner) {
+    worker = [](const request&, tcp::socket& socket, const net::yield& inner) {
       return Reply(socket, "content-length: 9\r\n", "x", inner) && false;
     };
     CheckRefused(Ask("/a", "b", yield), "may_have_run", "worker_lost");
-    worker = [](const request&, tcp::socket& socket, net::yield inner) {
+    worker = [](const request&, tcp::socket& socket, const net::yield& inner) {
       const std::string part = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx";
       asio::async_write(socket, asio::buffer(part), inner);
       return false;
@@ -271,7 +275,7 @@
     const auto cut = Ask("/a", "b", yield);
     CHECK(cut.status == 200);
     CHECK_FALSE(cut.whole);
-    worker = [](const request&, tcp::socket& socket, net::yield inner) {
+    worker = [](const request&, tcp::socket& socket, const net::yield& inner) {
       char byte = 0;
       boost::system::error_code error;
       asio::async_read(socket, asio::buffer(&byte, 1), inner[error]);
@@ -288,19 +292,20 @@
 // entry has given up.
 TEST_CASE_METHOD(proxy_fixture, "the worker gets no more than its slots") {
   manifest.services[0].slots = 3;
-  worker = [this](const request& got, tcp::socket& socket, net::yield yield) {
+  worker = [this](const request& got, tcp::socket& socket,
+                  const net::yield& yield) {
     for (int i = 0; i < 10; ++i) {
       net::asio::post(loop, yield);
     }
     return Reply(socket, "", std::string(got.target()), yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     constexpr int kRequests = 30;
     int done = 0;
     for (int i = 0; i < kRequests; ++i) {
       asio::spawn(
           loop,
-          [&, i](net::yield inner) {
+          [&, i](const net::yield& inner) {
             const auto path = "/n" + std::to_string(i);
             CHECK(Ask(path, "", inner).body == path);
             ++done;
@@ -321,7 +326,7 @@
 TEST_CASE_METHOD(proxy_fixture,
                  "long bodies stream and early answers end them") {
   const std::string large(2'000'000, 'q');
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto got = Ask("/a", large, yield);
     CHECK(got.body == "/a" + large);
     CHECK(got.whole);
@@ -331,9 +336,10 @@
 // Guards against an upload that never ends after an early answer or refusal.
 TEST_CASE_METHOD(proxy_fixture, "answers may come before the body has ended") {
   before_body = true;
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     for (const bool answers : {true, false}) {
-      worker = [&](const request&, tcp::socket& socket, net::yield inner) {
+      worker = [&](const request&, tcp::socket& socket,
+                   const net::yield& inner) {
         return answers && Reply(socket, "", "early", inner) && false;
       };
       const auto stream = Open("/a", false, yield);
@@ -355,12 +361,13 @@
   manifest.services[0].slots = 1;
   options.slow_reader = millis(5);
   options.stall_timeout = millis(200);
-  worker = [](const request& got, tcp::socket& socket, net::yield yield) {
+  worker = [](const request& got, tcp::socket& socket,
+              const net::yield& yield) {
     return Reply(socket, "",
                  std::string(got.target() == "/large" ? 20'000'000 : 1, 'x'),
                  yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto slow = Open("/large", true, yield);
     REQUIRE(slow->ReadHeaders(yield));
     CHECK(Ask("/small", "", yield).body == "x");
@@ -377,13 +384,13 @@
 TEST_CASE_METHOD(proxy_fixture, "draining finishes what has been accepted") {
   manifest.services[0].slots = 1;
   bool go = false;
-  worker = [&](const request&, tcp::socket& socket, net::yield yield) {
+  worker = [&](const request&, tcp::socket& socket, const net::yield& yield) {
     while (!go) {
       net::asio::post(loop, yield);
     }
     return Reply(socket, "", "late", yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto first = Open("/a", true, yield);
     const auto queued = Open("/b", true, yield);
     while (running == 0) {
--- a/tests/routing/memory_h2.h
+++ b/tests/routing/memory_h2.h
@@ -36,7 +36,7 @@
   verdict delivery = verdict::kMayHaveRun;
   net::asio::steady_timer changed;  // cancelled to wake up all that wait
 
-  void Wait(net::yield yield) {
+  void Wait(const net::yield& yield) {
     boost::system::error_code ignored;
     changed.async_wait(yield[ignored]);
   }
@@ -149,7 +149,7 @@
     }
     net::asio::spawn(
         loop_,
-        [state, handler = handler_](net::yield yield) {
+        [state, handler = handler_](const net::yield& yield) {
           auto stream = std::make_shared<memory_stream>(state, false);
           handler(stream, yield);
           if (!state->down.end) {
--- a/tests/routing/request_front_test.cc
+++ b/tests/routing/request_front_test.cc
@@ -11,11 +11,11 @@
 TEST_CASE_METHOD(front_fixture, "a request and its answer pass unchanged") {
   net::header_list seen;
   auto echo = agent;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     seen = stream->request_headers();
     echo(stream, yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto answer = Post("/a?b=c", "hello",
                              "chiveglade-class: forged\r\nx-own: 1\r\n"
                              "chiveglade-request-id: id-7\r\n",
@@ -42,7 +42,7 @@
   int faults_left = 1;
   std::string agent_says;
   auto echo = agent;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     if (faults_left-- <= 0) {
       echo(stream, yield);
     } else if (agent_says == "lost") {
@@ -55,8 +55,8 @@
           "", yield);
     }
   };
-  const auto both = [&](net::yield yield, const char* says, bool get_again,
-                        bool post_again) {
+  const auto both = [&](const net::yield& yield, const char* says,
+                        bool get_again, bool post_again) {
     CAPTURE(says);
     agent_says = says;
     faults_left = 1;
@@ -66,7 +66,7 @@
     CHECK(Says(Post("/x", "b", "", yield), post_again ? "200" : "502"));
     CHECK(opened() - before == (post_again ? 2 : 1));
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     both(yield, "not_run", true, true);
     both(yield, "may_have_run", true, false);
     both(yield, "lost", true, false);
@@ -91,7 +91,7 @@
 // Guards against not_run for a request whose first try may have run.
 TEST_CASE_METHOD(front_fixture, "a refused retry does not undo may_have_run") {
   int calls = 0;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     ReadAll(*stream, yield);
     if (++calls == 1) {
       stream->Reset(net::h2_error::kInternal);
@@ -102,7 +102,7 @@
                  "", yield);
     }
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CHECK(Says(Get("/x", yield), "502", "may_have_run", "queue_full"));
   });
 }
@@ -111,7 +111,7 @@
 // that belongs to another request (invariant 5).
 TEST_CASE_METHOD(front_fixture, "incomplete or foreign answers are not given") {
   int part = 0;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     const net::header_list id = {
         {":status", "200"},
         {"chiveglade-request-id",
@@ -123,7 +123,7 @@
     (void)stream->WriteHeaders(part == 0 ? id : with_length, false, yield);
     (void)stream->Write(part == 2 ? "0123456789x" : "01234", part != 0, yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     for (part = 0; part < 3; ++part) {
       CAPTURE(part);
       const auto answer = Post("/x", "b", "", yield);
@@ -147,7 +147,7 @@
   std::vector<std::pair<std::string, net::h2_stream_ptr>> waiting;
   net::asio::steady_timer all_here(loop,
                                    net::asio::steady_timer::time_point::max());
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     const auto path =
         std::string(net::FindHeader(stream->request_headers(), ":path"));
     const auto turn = std::stoi(path.substr(2));
@@ -163,12 +163,12 @@
     all_here.cancel();
     AnswerWith(*stream, "200", {}, "answer to " + path + ".", yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     int answered = 0;
     for (int i = 0; i < kCallers; ++i) {
       net::asio::spawn(
           loop,
-          [&, i](net::yield inner) {
+          [&, i](const net::yield& inner) {
             const auto path = "/n" + std::to_string(i);
             CHECK(Get(path, inner).find("answer to " + path + ".") !=
                   std::string::npos);
@@ -183,7 +183,7 @@
       all_here.async_wait(yield[ignored]);
     }
     // Requests sent without waiting are answered in their order.
-    agent = [](const net::h2_stream_ptr& stream, net::yield inner) {
+    agent = [](const net::h2_stream_ptr& stream, const net::yield& inner) {
       AnswerWith(
           *stream, "200", {},
           std::string(net::FindHeader(stream->request_headers(), ":path")),
@@ -203,7 +203,7 @@
 TEST_CASE_METHOD(front_fixture, "malformed and oversized input is refused") {
   options.max_body_bytes = 100'000;
   options.max_claimed_body_bytes = 50'000;
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const std::string h = " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n";
     CHECK(Says(Ask("nonsense\r\n\r\n", yield), "400", "not_run", "malformed"));
     CHECK(Says(Ask("GET /a HTTP/1.1\r\nbad header\r\n\r\n", yield), "400"));
@@ -261,7 +261,7 @@
 // Guards against bodies that are cut or held in memory as a whole.
 TEST_CASE_METHOD(front_fixture, "long bodies stream both ways") {
   const std::string body(3'000'000, 'q');
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto sized = Post("/x", body, "", yield);
     CHECK(sized.find("POST /x ") != std::string::npos);
     CHECK(std::count(sized.begin(), sized.end(), 'q') >= 3'000'000);
@@ -284,7 +284,7 @@
 TEST_CASE_METHOD(front_fixture, "long requests refused in time are retried") {
   int refusals = 2;
   const auto echo = agent;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     if (refusals-- <= 0) {
       echo(stream, yield);
       return;
@@ -298,7 +298,7 @@
         "", yield);
   };
   const std::string body(1'000'000, 'q');
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto answer = Post("/x", body, "", yield);
     CHECK(Says(answer, "200"));
     CHECK(std::count(answer.begin(), answer.end(), 'q') >= 1'000'000);
@@ -308,7 +308,7 @@
   options.replay_bytes = 16'384;
   refusals = 1;
   loop.restart();
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CHECK(Says(Post("/x", body, "", yield), "503", "not_run", "leaving"));
   });
 }
@@ -318,11 +318,13 @@
 TEST_CASE_METHOD(front_fixture, "stopped callers are given up") {
   options.stall_timeout = millis(50);
   bool stream_ended = false;
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
-    AnswerWith(*stream, "200", {}, std::string(50'000'000, 'x'), yield);
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
+    std::string large;
+    large.resize(50'000'000, 'x');
+    AnswerWith(*stream, "200", {}, large, yield);
     stream_ended = true;
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     auto socket = Connect(yield);
     net::asio::async_write(
         socket,
@@ -345,7 +347,7 @@
 // (invariants 6 and 7).
 TEST_CASE_METHOD(front_fixture, "a key makes a request run at most once") {
   const std::string key = "idempotency-key: k\r\n";
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     const auto first = Post("/x", "b", key, yield);
     CHECK(Says(first, "200"));
     CHECK(Post("/x", "b", key, yield).find("POST /x b") != std::string::npos);
@@ -363,7 +365,7 @@
     SetFaults(nullptr);
     CHECK(Says(Post("/x", "b", other, yield), "200"));
     const auto echo = agent;
-    agent = [](const net::h2_stream_ptr& stream, net::yield) {
+    agent = [](const net::h2_stream_ptr& stream, const net::yield&) {
       stream->Reset(net::h2_error::kInternal);
     };
     const std::string lost =
@@ -386,13 +388,13 @@
 TEST_CASE_METHOD(front_fixture, "draining finishes what is in flight") {
   options.drain_idle = millis(20);
   net::asio::steady_timer go(loop, net::asio::steady_timer::time_point::max());
-  agent = [&](const net::h2_stream_ptr& stream, net::yield yield) {
+  agent = [&](const net::h2_stream_ptr& stream, const net::yield& yield) {
     boost::system::error_code ignored;
     served.emplace_back("arrived");
     go.async_wait(yield[ignored]);
     AnswerWith(*stream, "200", {}, "late answer", yield);
   };
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     auto busy = Connect(yield);
     auto idle = Connect(yield);
     net::asio::async_write(
@@ -426,13 +428,13 @@
 // Guards against an entry that takes more requests than it can hold.
 TEST_CASE_METHOD(front_fixture, "open requests are limited") {
   options.open_requests = 0;
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CHECK(Says(Get("/x", yield), "503", "not_run", "overloaded"));
   });
   directory->SetOutOfService({"east"}, {});
   options.open_requests = 1;
   loop.restart();
-  Run([&](net::yield yield) {
+  Run([&](const net::yield& yield) {
     CHECK(Says(Get("/x", yield), "503", "not_run", "no_target"));
     CHECK(Says(Ask("GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
                    "chiveglade-deadline-ms: 0\r\n\r\n",
--- a/tests/routing/routing_fixture.h
+++ b/tests/routing/routing_fixture.h
@@ -18,7 +18,7 @@
 namespace chiveglade::routing {
 
 // Reads the whole body of a stream.
-inline std::string ReadAll(net::h2_stream& stream, net::yield yield) {
+inline std::string ReadAll(net::h2_stream& stream, const net::yield& yield) {
   std::string out;
   char part[4'096];
   for (;;) {
@@ -35,7 +35,7 @@
                        const std::string& status,
                        net::header_list fields,
                        const std::string& body,
-                       net::yield yield) {
+                       const net::yield& yield) {
   const auto& request = stream.request_headers();
   fields.insert(fields.begin(), {":status", status});
   fields.emplace_back("chiveglade-request-id",
@@ -62,7 +62,7 @@
   std::vector<std::string> served;  // "vm method path body", in order
   // How the agent at "10.0.0.N:1" answers; by default with what it got.
   net::h2_handler agent = [this](const net::h2_stream_ptr& stream,
-                                 net::yield yield) {
+                                 const net::yield& yield) {
     const auto body = ReadAll(*stream, yield);
     const auto& fields = stream->request_headers();
     served.push_back(std::string(net::FindHeader(fields, ":method")) + " " +
@@ -85,7 +85,7 @@
       beat.targets = {{"s", 8, 0, 0, 0}};
       directory->OnHeartbeat(beat);
       agents[beat.address] = std::make_shared<testing::memory_client>(
-          loop, [this](net::h2_stream_ptr stream, net::yield yield) {
+          loop, [this](net::h2_stream_ptr stream, const net::yield& yield) {
             agent(std::move(stream), yield);
           });
     }
@@ -135,7 +135,7 @@
     bool ended = false;
     net::asio::spawn(
         loop,
-        [&](net::yield yield) {
+        [&](const net::yield& yield) {
           body(yield);
           ended = true;
           front->Stop();
@@ -146,7 +146,7 @@
     CHECK(ended);
   }
 
-  tcp::socket Connect(net::yield yield) {
+  tcp::socket Connect(const net::yield& yield) {
     tcp::socket out(loop);
     out.async_connect({net::asio::ip::make_address("127.0.0.1"), front->port()},
                       yield);
@@ -154,18 +154,18 @@
   }
   // Sends bytes and reads until the connection ends. "RESET" at the end stands
   // for an aborted connection.
-  std::string Ask(const std::string& bytes, net::yield yield) {
+  std::string Ask(const std::string& bytes, const net::yield& yield) {
     auto socket = Connect(yield);
     net::asio::async_write(socket, net::asio::buffer(bytes), yield);
     return ReadToEnd(socket, yield);
   }
-  static std::string ReadToEnd(tcp::socket& socket, net::yield yield) {
+  static std::string ReadToEnd(tcp::socket& socket, const net::yield& yield) {
     std::string out;
     boost::system::error_code error;
     net::asio::async_read(socket, net::asio::dynamic_buffer(out), yield[error]);
     return error == net::asio::error::eof ? out : out + "RESET";
   }
-  std::string Get(const std::string& path, net::yield yield) {
+  std::string Get(const std::string& path, const net::yield& yield) {
     return Ask(
         "GET " + path + " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n",
         yield);
@@ -173,7 +173,7 @@
   std::string Post(const std::string& path,
                    const std::string& body,
                    const std::string& more_fields,
-                   net::yield yield) {
+                   const net::yield& yield) {
     return Ask(
         "POST " + path + " HTTP/1.1\r\nhost: h\r\nconnection: close\r\n" +
             more_fields + "content-length: " + std::to_string(body.size()) +
