Widen sizes explicitly in the settings

Cause: lint refused every file that includes the header. Change: the multiplications are made in size_t. Conclusion: lint can be run over the whole tree.

--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -39,8 +39,8 @@
   millis scheduler_lease{
       3'000};  // silence after which another entry takes over
   uint32_t open_requests = 4'096;  // most requests forwarded at once
-  size_t max_body_bytes = 64u * 1024 * 1024;
-  size_t max_header_bytes = 16u * 1024;
+  size_t max_body_bytes = size_t{64} * 1024 * 1024;
+  size_t max_header_bytes = size_t{16} * 1024;
   millis shutdown_grace{30'000};
   friend bool operator==(const entry_settings&,
                          const entry_settings&) = default;
