--- a/src/app/agent_role.cc
+++ b/src/app/agent_role.cc
@@ -131,11 +131,13 @@
   sender = std::make_unique<agent::h2_heartbeat_sender>(loop, net::h2_options{},
                                                         kHeartbeatTimeout);
   agent::announcer_hooks hooks;
-  hooks.call_worker = [this](const agent::worker_call& call, net::yield yield) {
+  hooks.call_worker = [this](const agent::worker_call& call,
+                             const net::yield& yield) {
     return worker->Call(call, yield);
   };
   hooks.send_heartbeat = [this](const std::string& address,
-                                const std::string& body, net::yield yield) {
+                                const std::string& body,
+                                const net::yield& yield) {
     return sender->Send(address, body, yield);
   };
   hooks.newer_manifest = [this](const std::string& address, uint64_t) {
@@ -150,7 +152,7 @@
 void agent_role::parts::OnNewerManifest(const std::string& address) {
   net::asio::spawn(
       control,
-      [this, address](net::yield yield) {
+      [this, address](const net::yield& yield) {
         const auto client = peers.Find(address);
         if (!client) {
           return;
@@ -180,7 +182,7 @@
 result<done> agent_role::parts::Listen() {
   auto peer_server = net::h2_server::Make(
       loop, settings.peer_listen.ip, settings.peer_listen.port, {},
-      [this](const net::h2_stream_ptr& stream, net::yield yield) {
+      [this](const net::h2_stream_ptr& stream, const net::yield& yield) {
         if (net::FindHeader(stream->request_headers(), ":path") ==
                 kManifestPath &&
             net::FindHeader(stream->request_headers(), "chiveglade-service")
@@ -196,7 +198,7 @@
   entries = *std::move(peer_server);
   auto status_server = net::http_server::Make(
       loop, settings.status_listen.ip, settings.status_listen.port, {},
-      [this](const net::http_request& request, net::yield) {
+      [this](const net::http_request& request, const net::yield&) {
         return Answer(request);
       });
   if (!status_server) {
--- a/src/app/await.h
+++ b/src/app/await.h
@@ -21,9 +21,10 @@
 // was given is called; returns the value passed to it. `start` must call its
 // callback exactly once, from any thread. T must be default-constructible.
 template <typename T>
-T AwaitCallback(strand on,
+T AwaitCallback(const strand& on,
                 std::function<void(std::function<void(T)>)> start,
-                net::yield yield) {
+                const net::yield& yield) {
+  net::yield token = yield;  // async_initiate takes a mutable reference.
   return net::asio::async_initiate<net::yield, void(T)>(
       [on](auto handler, std::function<void(std::function<void(T)>)> begin) {
         auto resume = net::asio::get_associated_executor(handler);
@@ -37,12 +38,12 @@
           });
         });
       },
-      yield, std::move(start));
+      token, std::move(start));
 }
 
 // Runs `work` on `on` and returns its value.
 template <typename T>
-T RunOn(strand on, std::function<T()> work, net::yield yield) {
+T RunOn(const strand& on, std::function<T()> work, const net::yield& yield) {
   return AwaitCallback<T>(
       on,
       [work = std::move(work)](const std::function<void(T)>& then) {
--- a/src/app/entry_role.cc
+++ b/src/app/entry_role.cc
@@ -172,12 +172,12 @@
   const auto& settings = context.settings;
   api = std::make_unique<operator_api>(context);
   heartbeats = std::make_unique<heartbeat_service>(
-      context, [this](const std::string& path, net::yield yield) {
+      context, [this](const std::string& path, const net::yield& yield) {
         return api->AnswerQuestion(path, yield);
       });
   auto peer_server = net::h2_server::Make(
       loop, settings.peer_listen.ip, settings.peer_listen.port, {},
-      [this](const net::h2_stream_ptr& stream, net::yield yield) {
+      [this](const net::h2_stream_ptr& stream, const net::yield& yield) {
         heartbeats->Handle(stream, yield);
       });
   if (!peer_server) {
@@ -188,7 +188,7 @@
   limits.max_body_bytes = config::kMaxManifestBytes;
   auto operator_server = net::http_server::Make(
       loop, settings.operator_listen.ip, settings.operator_listen.port, limits,
-      [this](const net::http_request& request, net::yield yield) {
+      [this](const net::http_request& request, const net::yield& yield) {
         return api->Handle(request, yield);
       });
   if (!operator_server) {
--- a/src/app/heartbeat_service.cc
+++ b/src/app/heartbeat_service.cc
@@ -23,7 +23,7 @@
 
 result<std::string> ReadBody(net::h2_stream& stream,
                              size_t max_bytes,
-                             net::yield yield) {
+                             const net::yield& yield) {
   std::string body;
   char buffer[16 * 1024];
   while (true) {
@@ -47,7 +47,7 @@
     : context_(context), answer_question_(std::move(answer_question)) {}
 
 void heartbeat_service::Handle(const net::h2_stream_ptr& stream,
-                               net::yield yield) {
+                               const net::yield& yield) {
   const std::string path(net::FindHeader(stream->request_headers(), ":path"));
   if (path == kHeartbeatPath) {
     HandleHeartbeat(stream, yield);
@@ -66,7 +66,7 @@
 }
 
 void heartbeat_service::HandleHeartbeat(const net::h2_stream_ptr& stream,
-                                        net::yield yield) {
+                                        const net::yield& yield) {
   const auto body = ReadBody(*stream, state::kMaxHeartbeatBytes, yield);
   if (!body) {
     stream->Reset(net::h2_error::kEnhanceYourCalm);
@@ -106,7 +106,7 @@
 }
 
 void heartbeat_service::AdoptNewer(const state::heartbeat& message,
-                                   net::yield yield) {
+                                   const net::yield& yield) {
   const auto client = context_.peer(message.address);
   if (!client) {
     return;
--- a/src/app/heartbeat_service.h
+++ b/src/app/heartbeat_service.h
@@ -25,15 +25,16 @@
   heartbeat_service(entry_context& context, question_fn answer_question);
 
   // The handler for the entry's h2_server.
-  void Handle(const net::h2_stream_ptr& stream, net::yield yield);
+  void Handle(const net::h2_stream_ptr& stream, const net::yield& yield);
 
  private:
-  void HandleHeartbeat(const net::h2_stream_ptr& stream, net::yield yield);
+  void HandleHeartbeat(const net::h2_stream_ptr& stream,
+                       const net::yield& yield);
   void FillIn(const state::heartbeat& message,
               state::heartbeat_answer& answer) const;
   // Fetches the manifest from an agent that has a newer one, for the time when
   // the store cannot be read.
-  void AdoptNewer(const state::heartbeat& message, net::yield yield);
+  void AdoptNewer(const state::heartbeat& message, const net::yield& yield);
 
   entry_context& context_;
   question_fn answer_question_;
@@ -45,7 +46,7 @@
 // Reads the body of a stream; fails if it is longer than `max_bytes`.
 result<std::string> ReadBody(net::h2_stream& stream,
                              size_t max_bytes,
-                             net::yield yield);
+                             const net::yield& yield);
 
 }  // namespace chiveglade::app
 
--- a/src/app/job_commands.cc
+++ b/src/app/job_commands.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr size_t kMaxJobBytes = 256 * 1024;
+constexpr size_t kMaxJobBytes = size_t{256} * 1024;
 
 struct job_options {
   operator_options common;
--- a/src/app/lifecycle.cc
+++ b/src/app/lifecycle.cc
@@ -11,7 +11,7 @@
 namespace {
 
 struct repeated_work : std::enable_shared_from_this<repeated_work> {
-  repeated_work(strand on, millis every, std::function<void()> what)
+  repeated_work(const strand& on, millis every, std::function<void()> what)
       : timer(on), interval(every), work(std::move(what)) {}
 
   void Schedule() {
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-void RunEvery(strand on, millis interval, std::function<void()> work) {
+void RunEvery(const strand& on, millis interval, std::function<void()> work) {
   auto repeated =
       std::make_shared<repeated_work>(on, interval, std::move(work));
   net::asio::post(on, [repeated] {
--- a/src/app/lifecycle.h
+++ b/src/app/lifecycle.h
@@ -16,7 +16,7 @@
 namespace chiveglade::app {
 
 // Calls `work` on `on` every `interval` until the event loop stops.
-void RunEvery(strand on, millis interval, std::function<void()> work);
+void RunEvery(const strand& on, millis interval, std::function<void()> work);
 
 // One step of a graceful stop: starts it and calls back when it is done.
 using stop_step = std::function<void(std::function<void()> done)>;
--- a/src/app/manifest_fetch.cc
+++ b/src/app/manifest_fetch.cc
@@ -22,7 +22,7 @@
            int status,
            const net::header_list& headers,
            const std::string& body,
-           net::yield yield) {
+           const net::yield& yield) {
   net::header_list fields = {{":status", std::to_string(status)}};
   fields.insert(fields.end(), headers.begin(), headers.end());
   if (stream.WriteHeaders(fields, body.empty(), yield) && !body.empty()) {
@@ -31,7 +31,8 @@
   }
 }
 
-result<held_manifest> FetchManifest(net::h2_client& peer, net::yield yield) {
+result<held_manifest> FetchManifest(net::h2_client& peer,
+                                    const net::yield& yield) {
   const auto reply =
       net::Exchange(peer, PeerGet(kManifestPath), "", config::kMaxManifestBytes,
                     kFetchTimeout, yield);
@@ -56,7 +57,7 @@
 
 void ServeManifest(const held_manifest& held,
                    net::h2_stream& stream,
-                   net::yield yield) {
+                   const net::yield& yield) {
   if (held.version == 0) {
     Reply(stream, 404, {}, "", yield);
     return;
--- a/src/app/manifest_fetch.h
+++ b/src/app/manifest_fetch.h
@@ -24,12 +24,13 @@
 };
 
 // Asks a peer for its manifest and checks it.
-result<held_manifest> FetchManifest(net::h2_client& peer, net::yield yield);
+result<held_manifest> FetchManifest(net::h2_client& peer,
+                                    const net::yield& yield);
 
 // Answers kManifestPath; 404 if none is held.
 void ServeManifest(const held_manifest& held,
                    net::h2_stream& stream,
-                   net::yield yield);
+                   const net::yield& yield);
 
 // The header fields of a GET to another process of the system. The peer is
 // known by its connection, so the authority is a fixed word.
@@ -40,7 +41,7 @@
            int status,
            const net::header_list& headers,
            const std::string& body,
-           net::yield yield);
+           const net::yield& yield);
 
 }  // namespace chiveglade::app
 
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -42,7 +42,7 @@
 operator_api::operator_api(entry_context& context) : context_(context) {}
 
 net::http_reply operator_api::Handle(const net::http_request& request,
-                                     net::yield yield) {
+                                     const net::yield& yield) {
   const auto target = ParseTarget(request.target);
   if (!target) {
     return MakeAnswer(400, "invalid", target.last_reason().detail);
@@ -74,7 +74,7 @@
 
 net::http_reply operator_api::HandleV1(const net::http_request& request,
                                        const parsed_target& target,
-                                       net::yield yield) {
+                                       const net::yield& yield) {
   if (target.segments.size() < 2) {
     return MakeAnswer(404, "not_found", "no such path");
   }
@@ -94,7 +94,7 @@
 }
 
 net::http_reply operator_api::Show(const parsed_target& target,
-                                   net::yield yield) {
+                                   const net::yield& yield) {
   const auto& path = target.segments;
   if (path[1] == "manifest" && path.size() == 2) {
     return ShowManifest();
@@ -116,7 +116,7 @@
 
 net::http_reply operator_api::Change(const change_call& call,
                                      const parsed_target& target,
-                                     net::yield yield) {
+                                     const net::yield& yield) {
   const auto& path = target.segments;
   if (path[1] == "manifest" && path.size() == 2) {
     return PublishManifest(call, yield);
@@ -152,7 +152,7 @@
                           "manifest is in effect");
 }
 
-net::http_reply operator_api::Status(net::yield yield) {
+net::http_reply operator_api::Status(const net::yield& yield) {
   const auto view = context_.reader->view();
   json entries = json::array();
   for (const auto& entry : view->entries) {
@@ -203,7 +203,7 @@
 }
 
 net::http_reply operator_api::PublishManifest(const change_call& call,
-                                              net::yield yield) {
+                                              const net::yield& yield) {
   auto parsed = config::ParseManifest(call.body, "manifest");
   if (!parsed.value) {
     json problems = json::array();
@@ -253,7 +253,7 @@
       "the store did not say whether it took effect: " + outcome.why.detail);
 }
 
-net::http_reply operator_api::ShowDataCentres(net::yield yield) {
+net::http_reply operator_api::ShowDataCentres(const net::yield& yield) {
   const auto view = context_.reader->view();
   const auto workers = AskScheduler("/workers", yield);
   std::map<std::string, std::pair<int, size_t>> counts;  // VMs, attempts
--- a/src/app/operator_api.h
+++ b/src/app/operator_api.h
@@ -23,11 +23,13 @@
   explicit operator_api(entry_context& context);
 
   // Handler for the entry's operator server.
-  net::http_reply Handle(const net::http_request& request, net::yield yield);
+  net::http_reply Handle(const net::http_request& request,
+                         const net::yield& yield);
 
   // Answers a question that only the scheduler can answer, without asking
   // further: "/status", "/jobs", "/jobs/NAME", "/workers", "/attempts".
-  net::http_reply AnswerQuestion(const std::string& path, net::yield yield);
+  net::http_reply AnswerQuestion(const std::string& path,
+                                 const net::yield& yield);
 
  private:
   // A change that an operator asks for.
@@ -41,34 +43,36 @@
 
   net::http_reply HandleV1(const net::http_request& request,
                            const parsed_target& target,
-                           net::yield yield);
-  net::http_reply Show(const parsed_target& target, net::yield yield);
+                           const net::yield& yield);
+  net::http_reply Show(const parsed_target& target, const net::yield& yield);
   net::http_reply Change(const change_call& call,
                          const parsed_target& target,
-                         net::yield yield);
+                         const net::yield& yield);
   net::http_reply Ready() const;
-  net::http_reply Status(net::yield yield);
+  net::http_reply Status(const net::yield& yield);
   net::http_reply ShowManifest() const;
-  net::http_reply PublishManifest(const change_call& call, net::yield yield);
-  net::http_reply ShowDataCentres(net::yield yield);
+  net::http_reply PublishManifest(const change_call& call,
+                                  const net::yield& yield);
+  net::http_reply ShowDataCentres(const net::yield& yield);
   net::http_reply ChangeDataCentre(const change_call& call,
                                    const std::string& name,
                                    bool out,
-                                   net::yield yield);
-  net::http_reply SubmitJob(const change_call& call, net::yield yield);
+                                   const net::yield& yield);
+  net::http_reply SubmitJob(const change_call& call, const net::yield& yield);
   net::http_reply CancelJob(const change_call& call,
                             const std::string& name,
-                            net::yield yield);
+                            const net::yield& yield);
   net::http_reply ChangeWorker(const change_call& call,
                                const std::string& name,
                                const std::string& action,
-                               net::yield yield);
+                               const net::yield& yield);
   // Writes a command row and waits a short time for what comes of it.
   net::http_reply SendCommand(const authority::command& order,
                               const std::string& verify,
-                              net::yield yield);
+                              const net::yield& yield);
   // Asks the scheduler, wherever it is.
-  net::http_reply AskScheduler(const std::string& path, net::yield yield);
+  net::http_reply AskScheduler(const std::string& path,
+                               const net::yield& yield);
   net::http_reply AnswerHere(const std::string& path) const;
   int64_t ConfirmedMillisAgo() const;
 
--- a/src/app/operator_changes.cc
+++ b/src/app/operator_changes.cc
@@ -56,7 +56,7 @@
 net::http_reply operator_api::ChangeDataCentre(const change_call& call,
                                                const std::string& name,
                                                bool out,
-                                               net::yield yield) {
+                                               const net::yield& yield) {
   const auto view = context_.reader->view();
   bool declared = false;
   if (view->manifest) {
@@ -103,7 +103,7 @@
 
 net::http_reply operator_api::SendCommand(const authority::command& order,
                                           const std::string& verify,
-                                          net::yield yield) {
+                                          const net::yield& yield) {
   const auto outcome = AwaitCallback<authority::command_outcome>(
       context_.control,
       [this, &order](const authority::command_callback& then) {
@@ -134,7 +134,7 @@
 }
 
 net::http_reply operator_api::SubmitJob(const change_call& call,
-                                        net::yield yield) {
+                                        const net::yield& yield) {
   const auto view = context_.reader->view();
   if (!view->manifest) {
     return MakeAnswer(503, "not_accepted",
@@ -162,7 +162,7 @@
 
 net::http_reply operator_api::CancelJob(const change_call& call,
                                         const std::string& name,
-                                        net::yield yield) {
+                                        const net::yield& yield) {
   if (call.dry_run) {
     const auto reply = AskScheduler("/jobs/" + EscapeUrl(name), yield);
     return reply.status == 200 ? DryRun("cancel " + name) : reply;
@@ -174,12 +174,12 @@
 net::http_reply operator_api::ChangeWorker(const change_call& call,
                                            const std::string& name,
                                            const std::string& action,
-                                           net::yield yield) {
+                                           const net::yield& yield) {
   // The incarnation is settled now, so that a command carried out late cannot
   // end the tasks of a VM that has been restarted since.
   uint64_t incarnation = 0;
   if (action == "gone" || call.dry_run) {
-    const auto reply = AskScheduler("/workers/" + EscapeUrl(name), yield);
+    auto reply = AskScheduler("/workers/" + EscapeUrl(name), yield);
     if (reply.status != 200) {
       return reply;
     }
--- a/src/app/operator_client.cc
+++ b/src/app/operator_client.cc
@@ -44,7 +44,7 @@
   net::http_outcome outcome;
   net::asio::spawn(
       loop,
-      [&](net::yield yield) {
+      [&](const net::yield& yield) {
         outcome = client->Send(
             {call.method,
              call.target,
--- a/src/app/operator_questions.cc
+++ b/src/app/operator_questions.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr millis kQuestionTimeout{2'000};
-constexpr size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+constexpr size_t kMaxAnswerBytes = size_t{16} * 1024 * 1024;
 // A list of jobs is for people; a single job is always answered in full.
 constexpr size_t kMaxJobsListed = 2'000;
 
@@ -153,13 +153,13 @@
 }
 
 net::http_reply operator_api::AnswerQuestion(const std::string& path,
-                                             net::yield yield) {
+                                             const net::yield& yield) {
   return RunOn<net::http_reply>(
       context_.control, [this, &path] { return AnswerHere(path); }, yield);
 }
 
 net::http_reply operator_api::AskScheduler(const std::string& path,
-                                           net::yield yield) {
+                                           const net::yield& yield) {
   auto reply = AnswerQuestion(path, yield);
   if (reply.status != 503) {
     return reply;
--- a/src/app/role_commands.cc
+++ b/src/app/role_commands.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr size_t kMaxSettingsBytes = 1024 * 1024;
+constexpr size_t kMaxSettingsBytes = size_t{1024} * 1024;
 
 // Reads the settings of a role, checks them, and runs it unless only the check
 // was asked for.
--- a/src/app/settings_commands.cc
+++ b/src/app/settings_commands.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr size_t kMaxSettingsBytes = 1024 * 1024;
+constexpr size_t kMaxSettingsBytes = size_t{1024} * 1024;
 
 template <typename T>
 exit_code Check(const std::string& path,
