Read settings and test files in one place

Cause: the roles and settings check each had their own copy of reading and reporting, and two tests their own ReadFile. Change: LoadSettings and tests/config/read_file.h.

--- a/src/app/role_commands.cc
+++ b/src/app/role_commands.cc
@@ -5,14 +5,12 @@
 #include "chiveglade/observe/log.h"
 #include "command_line.h"
 #include "entry_role.h"
-#include "files.h"
+#include "settings_file.h"
 
 namespace chiveglade::app {
 
 namespace {
 
-constexpr size_t kMaxSettingsBytes = size_t{1024} * 1024;
-
 // Reads the settings of a role, checks them, and runs it unless only the check
 // was asked for.
 template <typename Settings, typename Role>
@@ -21,24 +19,16 @@
                   config::checked<Settings> (*parse)(const std::string&,
                                                      const std::string&),
                   const std::string& (*name_of)(const Settings&)) {
-  const auto text = ReadFile(path, kMaxSettingsBytes);
-  if (!text) {
-    std::cerr << text.last_reason().detail << "\n";
-    return exit_code::kInvalid;
-  }
-  const auto parsed = parse(*text, path);
-  for (const auto& problem : parsed.problems) {
-    std::cerr << config::ToString(problem) << "\n";
-  }
-  if (!parsed.value) {
+  const auto settings = LoadSettings(path, parse);
+  if (!settings) {
     return exit_code::kInvalid;
   }
   if (check_only) {
     std::cout << path << ": no problems\n";
     return exit_code::kDone;
   }
-  observe::InitLogging("chiveglade", name_of(*parsed.value));
-  auto role = Role::Make(*parsed.value);
+  observe::InitLogging("chiveglade", name_of(*settings));
+  auto role = Role::Make(*settings);
   if (!role) {
     observe::LogError("start_failed", {{"reason", role.last_reason().code},
                                        {"detail", role.last_reason().detail}});
--- a/src/app/settings_commands.cc
+++ b/src/app/settings_commands.cc
@@ -3,28 +3,17 @@
 #include "chiveglade/config/reference.h"
 #include "chiveglade/config/settings.h"
 #include "command_line.h"
-#include "files.h"
+#include "settings_file.h"
 
 namespace chiveglade::app {
 
 namespace {
 
-constexpr size_t kMaxSettingsBytes = size_t{1024} * 1024;
-
 template <typename T>
 exit_code Check(const std::string& path,
                 config::checked<T> (*parse)(const std::string&,
                                             const std::string&)) {
-  const auto text = ReadFile(path, kMaxSettingsBytes);
-  if (!text) {
-    std::cerr << text.last_reason().detail << "\n";
-    return exit_code::kInvalid;
-  }
-  const auto parsed = parse(*text, path);
-  for (const auto& problem : parsed.problems) {
-    std::cerr << config::ToString(problem) << "\n";
-  }
-  if (!parsed.value) {
+  if (!LoadSettings(path, parse)) {
     return exit_code::kInvalid;
   }
   std::cout << path << ": no problems\n";
--- a/tests/config/manifest_test.cc
+++ b/tests/config/manifest_test.cc
@@ -1,22 +1,14 @@
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "chiveglade/config/manifest.h"
+#include "tests/config/read_file.h"
 
 namespace chiveglade::config {
 namespace {
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream in(std::string(SOURCE_DIR) + "/" + path);
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 nlohmann::json Example() {
   return nlohmann::json::parse(ReadFile("examples/ladder/manifest.json"));
 }
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -1,23 +1,11 @@
-#include <fstream>
-#include <sstream>
-
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "chiveglade/config/reference.h"
 #include "chiveglade/config/settings.h"
+#include "tests/config/read_file.h"
 
 namespace chiveglade::config {
-namespace {
-
-std::string ReadFile(const std::string& path) {
-  std::ifstream in(std::string(SOURCE_DIR) + "/" + path);
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
-}  // namespace
 
 // Guards against examples that the program refuses.
 TEST_CASE("the shipped settings are accepted") {
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -88,6 +88,28 @@
             cluster.stop()
 
 
+def measure_requests(rate, seconds):
+    """Processor time of entries and agents for each forwarded request."""
+    mix = [{"method": "GET", "path": "/standings/1", "class": "standings"}]
+    with tempfile.TemporaryDirectory() as directory:
+        cluster = lib.Cluster(directory, "ladder", 11)
+        try:
+            cluster.start()
+            entries = [e["process"].child.pid for e in cluster.entries.values()]
+            agents = [w.agent.child.pid for w in cluster.workers]
+            before = {p: cpu_seconds(p) for p in entries + agents}
+            cluster.start_load(seconds, rate, mix).wait()
+            report = cluster.load_report()
+            used = {p: cpu_seconds(p) - before[p] for p in before}
+            count = report["requests"]
+            print(f"\n{count} requests at {rate}/s: {report['verdicts']}, {report['latency_us']}")
+            print(f"entry {sum(used[p] for p in entries) / count * 1e6:.0f} us of processor time a request, "
+                  f"{count / max(sum(used[p] for p in entries), 1e-9):.0f} requests a second and core; "
+                  f"agent {sum(used[p] for p in agents) / count * 1e6:.0f} us a request")
+        finally:
+            cluster.stop()
+
+
 def line(xs, ys):
     """Least squares: (slope, intercept, r squared)."""
     n, mx, my = len(xs), sum(xs) / len(xs), sum(ys) / len(ys)
@@ -103,6 +125,7 @@
     parser.add_argument("--workers", default="12,48,96")
     parser.add_argument("--seconds", type=int, default=15)
     parser.add_argument("--tasks", type=int, default=17, help="batch tasks on each worker")
+    parser.add_argument("--rate", type=int, default=2000, help="requests a second")
     arguments = parser.parse_args()
     sizes = [int(n) for n in arguments.workers.split(",")]
     rows = [measure(n, arguments.seconds, arguments.tasks) for n in sizes]
@@ -114,6 +137,7 @@
     for name in names[1:]:
         slope, base, straight = line(sizes, [row[name] for row in rows])
         print(f"| {name} | {slope:.4f} | {base:.2f} | {straight:.3f} | {base + slope * 670:.1f} |")
+    measure_requests(arguments.rate, 10)
 
 
 if __name__ == "__main__":
