--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -50,7 +50,7 @@
         cluster = lib.Cluster(directory, "ladder", workers)
         try:
             cluster.start()
-            cluster.submit("steady", workers * tasks_per_worker, 3_600_000, "normal", millicores=100, memory=64)
+            cluster.submit("steady", workers * tasks_per_worker, 3_600_000, "normal", millicores=50, memory=64)
             cluster.wait_for(lambda: cluster.job("steady")["phases"].get("running", 0) == workers * tasks_per_worker,
                              "the tasks to run", 120)
             agents = [w.agent.child.pid for w in cluster.workers]
