--- a/include/chiveglade/authority/scheduler.h
+++ b/include/chiveglade/authority/scheduler.h
@@ -135,7 +135,7 @@
   void Recover();
   void OnTakenOver(append_status status);
   void BecomeWatcher(const std::string& why);
-  millis Patience();
+  millis TakeoverDelay();
 
   // Deciding and appending.
   void Hold(boot_time now);
@@ -190,7 +190,7 @@
   boot_time seen_at_{};    // when this version was first seen
   boot_time last_read_{};  // the last answered read
   boot_time next_read_{};
-  millis patience_{0};
+  millis takeover_delay_{0};
   bool reading_ = false;
   bool ever_read_ = false;
 
--- a/src/authority/scheduler.cc
+++ b/src/authority/scheduler.cc
@@ -125,7 +125,7 @@
   }
 }
 
-millis scheduler::Patience() {
+millis scheduler::TakeoverDelay() {
   const bool vacant = seen_.version == 0 || seen_.head.released;
   const auto jitter = static_cast<uint64_t>(options_.takeover_jitter.count());
   return (vacant ? millis(0) : options_.scheduler_lease) +
@@ -160,10 +160,10 @@
   if (!std::exchange(ever_read_, true) || gap || *found != seen_) {
     seen_ = *found;
     seen_at_ = now;
-    patience_ = Patience();
+    takeover_delay_ = TakeoverDelay();
   }
   last_read_ = now;
-  const boot_time due = seen_at_ + patience_;
+  const boot_time due = seen_at_ + takeover_delay_;
   if (now >= due && !releasing_) {
     Recover();
     return;
--- a/src/sched/interference_guard.cc
+++ b/src/sched/interference_guard.cc
@@ -13,7 +13,7 @@
 // Share of the limit below which the VM counts as calm.
 constexpr double kCalmShare = 0.9;
 // Wait between the last throttle and an eviction, and calm time before a lift.
-constexpr millis kPatience{10'000};
+constexpr millis kStepInterval{10'000};
 constexpr millis kLongestLiftWait{320'000};
 // A throttle this soon after a lift means that the lift was too early.
 constexpr millis kRelapse{60'000};
@@ -131,14 +131,14 @@
     excess -= Harm(slot, *worst) * (before - Below(before)) / 100;
   }
   if (stepped.empty()) {
-    if (!seen.last_step || draft.now() - *seen.last_step >= kPatience) {
+    if (!seen.last_step || draft.now() - *seen.last_step >= kStepInterval) {
       Evict(slot, seen, draft);
     }
     return;
   }
   if (seen.last_lift && draft.now() - *seen.last_lift < kRelapse) {
     seen.lift_wait =
-        std::min(kLongestLiftWait, std::max(kPatience, seen.lift_wait) * 2);
+        std::min(kLongestLiftWait, std::max(kStepInterval, seen.lift_wait) * 2);
     seen.last_lift.reset();
   }
   seen.last_step = draft.now();
@@ -180,7 +180,7 @@
                                     watch& seen,
                                     plan_draft& draft) {
   if (options_.interference != interference_rule::kLearned || WaveOfNoise() ||
-      (seen.last_step && draft.now() - *seen.last_step < kPatience)) {
+      (seen.last_step && draft.now() - *seen.last_step < kStepInterval)) {
     return;
   }
   resident* worst = nullptr;
@@ -207,7 +207,7 @@
                               watch& seen,
                               double headroom,
                               plan_draft& draft) {
-  const auto wait = std::max(kPatience, seen.lift_wait);
+  const auto wait = std::max(kStepInterval, seen.lift_wait);
   if (draft.now() - *seen.calm_since < wait) {
     return;
   }
