Name task phases in one place

Cause: the scheduler's status and the entry's metrics each had their own table of the same seven words. Change: state/phase_name.h. Ruled out: one name table for priority bands; the manifest's writes a service's band as normal on purpose, since a declared job cannot have it. Conclusion: behaviour is unchanged.

--- a/src/app/entry_metrics.cc
+++ b/src/app/entry_metrics.cc
@@ -3,33 +3,14 @@
 #include <map>
 #include <string>
 
+#include "chiveglade/state/phase_name.h"
+
 namespace chiveglade::app {
 
 namespace {
 
 constexpr double kMillisPerSecond = 1000.0;
 
-const char* PhaseName(state::task_phase phase) {
-  using state::task_phase;
-  switch (phase) {
-    case task_phase::kPending:
-      return "pending";
-    case task_phase::kStarting:
-      return "starting";
-    case task_phase::kRunning:
-      return "running";
-    case task_phase::kStopping:
-      return "stopping";
-    case task_phase::kFinished:
-      return "finished";
-    case task_phase::kCancelled:
-      return "cancelled";
-    case task_phase::kFailed:
-      return "failed";
-  }
-  return "";
-}
-
 void UpdateSchedulerGauges(entry_context& context) {
   const auto& scheduler = *context.scheduler;
   auto& metrics = context.metrics;
@@ -46,7 +27,7 @@
   for (const auto& [name, job] : state.jobs()) {
     parked += job.parked_reason.empty() ? 0 : 1;
     for (const auto& task : job.tasks) {
-      ++phases[PhaseName(task.phase)];
+      ++phases[state::PhaseName(task.phase)];
     }
   }
   for (const auto& [phase, count] : phases) {
--- a/src/authority/status.cc
+++ b/src/authority/status.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "chiveglade/authority/scheduler.h"
+#include "chiveglade/state/phase_name.h"
 #include "control_rows.h"
 #include "vm_views.h"
 
@@ -14,26 +15,6 @@
 // Most jobs listed with the reason why they wait.
 constexpr size_t kMaxWaitingListed = 1'000;
 
-const char* PhaseName(state::task_phase phase) {
-  switch (phase) {
-    case state::task_phase::kPending:
-      return "pending";
-    case state::task_phase::kStarting:
-      return "starting";
-    case state::task_phase::kRunning:
-      return "running";
-    case state::task_phase::kStopping:
-      return "stopping";
-    case state::task_phase::kFinished:
-      return "finished";
-    case state::task_phase::kCancelled:
-      return "cancelled";
-    case state::task_phase::kFailed:
-      return "failed";
-  }
-  return "unknown";
-}
-
 json ToJson(const resources& in) {
   return {{"millicores", in.millicores},
           {"memory_mib", in.memory_mib},
@@ -57,7 +38,7 @@
   json out = json::object();
   for (const auto& [name, owner] : in.jobs()) {
     for (const auto& at : owner.tasks) {
-      auto& count = out[PhaseName(at.phase)];
+      auto& count = out[state::PhaseName(at.phase)];
       count = count.is_null() ? 1 : count.get<int64_t>() + 1;
     }
   }
@@ -120,7 +101,7 @@
   }
   json tasks = json::array();
   for (const auto& at : owner->tasks) {
-    tasks.push_back({{"phase", PhaseName(at.phase)},
+    tasks.push_back({{"phase", state::PhaseName(at.phase)},
                      {"attempt", at.attempt},
                      {"vm", at.vm.name},
                      {"failures", at.failures},
