Place tasks in passes that cost no more than the news

A profile put most of it into placing: each of some 700 messages a second sorted all active jobs and computed the load of all 54 VMs anew for each task that waited, so a backlog fed itself.

Change: a pass runs when something has changed (or each 50 ms) and only when its result can be written; loads of VMs are kept and refreshed where something changed; a step is scored once per VM and then only where a task was placed; a step that asks for no less than one without room is not scored at all. FillerSpeed stops once the processors alone make a VM too slow.

Test: "a backlog is not weighed again for reports without news" counts scores under a backlog of 200 jobs on 54 full VMs.

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -60,6 +60,7 @@
   uint64_t refused = 0;  // starts that a worker refused
   uint64_t hung = 0;
   uint64_t resent = 0;
+  uint64_t vms_scored = 0;  // the work of placing: scores of a VM for a step
 };
 
 // The state of one holder of the role. It learns jobs from what is stored, VMs
@@ -90,7 +91,8 @@
   report_answer OnReport(const report& in, boot_time now, boot_time confirmed);
 
   // Ends runs on VMs whose grants have run out, finds hung runs, and places
-  // what can start.
+  // what can start. To be called when a batch can be written, so that tasks are
+  // placed by the newest reports.
   void Tick(boot_time now, int64_t now_unix_ms);
 
   // Progress of jobs that is not durable yet: job and encoded record, none for
--- a/include/chiveglade/workflow/interference_model.h
+++ b/include/chiveglade/workflow/interference_model.h
@@ -80,7 +80,8 @@
   void Set(const pair_weight& in);
 
  private:
-  std::map<std::pair<std::string, std::string>, double> weights_;
+  // By image of the serving task, then of the filler.
+  std::map<std::string, std::map<std::string, double>> weights_;
 };
 
 }  // namespace chiveglade::workflow
--- a/include/chiveglade/workflow/placement.h
+++ b/include/chiveglade/workflow/placement.h
@@ -62,6 +62,13 @@
                    const interference_model& model,
                    const placement_options& options);
 
+// How well a VM suits a task, higher being better; nothing if the task has no
+// room there or may not run there.
+std::optional<double> ScoreVm(const vm_load& vm,
+                              const step_spec& step,
+                              const interference_model& model,
+                              const placement_options& options);
+
 // The index of the best VM, or nothing if the task has room on none. `strict`
 // leaves suspect VMs out.
 std::optional<size_t> ChooseVm(const std::vector<vm_load>& vms,
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -280,16 +280,19 @@
     return;
   }
   const auto now = hooks_.clock();
-  coordinator_->Tick(now, hooks_.unix_ms());
   SendOrders();
-  if (!writer_->holds() || writer_->busy() || !coordinator_->HasUncommitted()) {
+  if (!writer_->holds() || writer_->busy()) {
     return;
   }
   if (now < next_commit_) {
     SchedulePump(std::chrono::duration_cast<millis>(next_commit_ - now));
     return;
   }
-  Commit();
+  coordinator_->Tick(now, hooks_.unix_ms());
+  if (coordinator_->HasUncommitted()) {
+    Commit();
+  }
+  SendOrders();
 }
 
 void coordinator_host::Commit() {
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -13,6 +13,9 @@
 constexpr size_t kMaxBatchBytes = 600'000;
 // Longest chain of estimated work of a job whose estimates are missing.
 constexpr millis kDefaultEstimate{1'000};
+// Runs are looked at this often for those that hang or crawl, which shows in
+// reports half a second apart.
+constexpr millis kCheckInterval{50};
 
 // Time that the longest chain of steps takes by the estimates.
 millis ChainOf(const job_spec& job) {
@@ -81,6 +84,7 @@
   job.phase = phase;
   job.ended_at = now;
   active.erase(job.id);
+  order_stale = true;
   MarkDirty(job);
   if (loading) {
     return;
@@ -142,6 +146,8 @@
   }
   state_->queues = in;
   state_->has_catalogue = true;
+  state_->order_stale = true;
+  state_->placing_due = true;
   for (auto& [id, job] : state_->jobs) {
     state_->ApplyPolicy(*job);
   }
@@ -150,6 +156,7 @@
 void coordinator::SetOutOfService(std::set<std::string> data_centres) {
   if (state_->out_of_service != data_centres) {
     state_->out_of_service = std::move(data_centres);
+    state_->placing_due = true;
   }
 }
 
@@ -186,6 +193,8 @@
   auto& added = *job;
   state_->jobs.emplace(id, std::move(job));
   state_->active.insert(id);
+  state_->order_stale = true;
+  state_->placing_due = true;
   for (uint32_t k = 0; k < added.record.tasks.size(); ++k) {
     auto& counts = added.done_counts.emplace_back(added.record.tasks[k].size());
     for (uint32_t s = 0; s < added.record.tasks[k].size(); ++s) {
@@ -370,10 +379,16 @@
 
 void coordinator::Tick(boot_time now, int64_t now_unix_ms) {
   state_->ExpireVms(now);
-  state_->FindHung(now);
+  const bool check = now - state_->checked_at >= kCheckInterval;
+  if (check) {
+    state_->checked_at = now;
+    state_->FindHung(now);
+  }
   if (state_->has_catalogue) {
     state_->Place(now, now_unix_ms);
-    state_->MoveThrottled(now);
+    if (check) {
+      state_->MoveThrottled(now);
+    }
   }
 }
 
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -3,6 +3,7 @@
 // Answers bursts in which more is ready than fits: queues of a lower priority
 // number come first, and within one the job whose objective is nearest.
 #include <algorithm>
+#include <cstdlib>
 #include <tuple>
 
 #include "src/workflow/coordinator_state.h"
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr double kMillicores = 1'000;  // in a core
+// Without news, waiting jobs are looked at this often, for what time alone
+// changes: due times, delays after failures, trust in VMs.
+constexpr millis kPlacingInterval{50};
 // Until a filler shows in the measurements: its start, the half second that
 // they are for, and the time between reports.
 constexpr millis kSettling{900};
@@ -24,6 +28,23 @@
 constexpr uint32_t kMostWorkLost = 25;
 constexpr double kWorthMoving = 0.85;
 
+// True if a step that asks for no more has found no room in this pass. Steps
+// that limit themselves to some VMs may fail for that reason alone.
+bool IsKnownToHaveNoRoom(const placing_pass& pass,
+                         const std::string& service,
+                         const step_spec& step) {
+  return std::any_of(pass.without_room.begin(), pass.without_room.end(),
+                     [&](const placing_pass::refused_step& earlier) {
+                       const auto& refused = *earlier.step;
+                       return earlier.service == service &&
+                              refused.max_per_vm == 0 &&
+                              refused.fills == step.fills &&
+                              refused.required_label == step.required_label &&
+                              (!step.fills || refused.image == step.image) &&
+                              FitsWithin(refused.demand, step.demand);
+                     });
+}
+
 }  // namespace
 
 bool coordinator::state::StepIsReady(const job_state& job,
@@ -41,36 +62,54 @@
 }
 
 void coordinator::state::Place(boot_time now, int64_t now_unix_ms) {
-  std::vector<job_state*> order;
-  order.reserve(active.size());
-  for (const auto& id : active) {
-    order.push_back(jobs.at(id).get());
+  const bool time_passed =
+      now - placed_at >= kPlacingInterval ||
+      millis(std::abs(now_unix_ms - placed_unix_ms)) >= kPlacingInterval;
+  if (!placing_due && !time_passed) {
+    return;
   }
-  std::sort(order.begin(), order.end(),
-            [](const job_state* a, const job_state* b) {
-              return std::tie(a->priority, a->objective, a->id) <
-                     std::tie(b->priority, b->objective, b->id);
-            });
+  placing_due = false;
+  placed_at = now;
+  placed_unix_ms = now_unix_ms;
+  if (order_stale) {
+    order_stale = false;
+    order.clear();
+    for (const auto& id : active) {
+      order.push_back(jobs.at(id).get());
+    }
+    std::sort(order.begin(), order.end(),
+              [](const job_state* a, const job_state* b) {
+                return std::tie(a->priority, a->objective, a->id) <
+                       std::tie(b->priority, b->objective, b->id);
+              });
+  }
+  placing_pass pass;
+  pass.now = now;
+  pass.now_unix_ms = now_unix_ms;
   for (auto* job : order) {
-    const auto& repeat = job->in.job.repeat;
-    for (uint32_t k = 0; k < job->record.tasks.size(); ++k) {
-      const int64_t due =
-          repeat.occurrences == 0
-              ? 0
-              : repeat.first_unix_ms +
-                    static_cast<int64_t>(k) * repeat.interval.count();
-      if (now_unix_ms < due) {
-        break;
+    PlaceJob(*job, pass);
+  }
+}
+
+void coordinator::state::PlaceJob(job_state& job, placing_pass& pass) {
+  const auto& repeat = job.in.job.repeat;
+  for (uint32_t k = 0; k < job.record.tasks.size(); ++k) {
+    const int64_t due =
+        repeat.occurrences == 0
+            ? 0
+            : repeat.first_unix_ms +
+                  static_cast<int64_t>(k) * repeat.interval.count();
+    if (pass.now_unix_ms < due) {
+      return;
+    }
+    for (uint32_t s = 0; s < job.in.job.steps.size(); ++s) {
+      if (!StepIsReady(job, k, s) || pass.now < job.retry_at[s]) {
+        continue;
       }
-      for (uint32_t s = 0; s < job->in.job.steps.size(); ++s) {
-        if (!StepIsReady(*job, k, s) || now < job->retry_at[s]) {
-          continue;
-        }
-        if (job->in.job.steps[s].gang) {
-          PlaceGang(*job, k, s, now);
-        } else {
-          PlaceStep(*job, k, s, now);
-        }
+      if (job.in.job.steps[s].gang) {
+        PlaceGang(job, k, s, pass);
+      } else {
+        PlaceStep(job, k, s, pass);
       }
     }
   }
@@ -79,21 +118,94 @@
 void coordinator::state::PlaceStep(job_state& job,
                                    uint32_t occurrence,
                                    uint32_t step,
-                                   boot_time now) {
+                                   placing_pass& pass) {
+  const auto& spec = job.in.job.steps[step];
   auto& tasks = job.record.tasks[occurrence][step];
+  const auto waits = [](const task_record& task) {
+    return task.phase == task_phase::kPending && task.live.empty();
+  };
+  if (std::none_of(tasks.begin(), tasks.end(), waits) ||
+      IsKnownToHaveNoRoom(pass, job.service, spec)) {
+    return;
+  }
+  const auto [found, added] = pass.vms.try_emplace(job.service);
+  const auto& candidates = found->second;
+  if (added) {
+    found->second = Candidates(job.service, pass.now);
+  }
+  UpdateLoads(candidates, job, occurrence, step, pass.now);
+  std::vector<std::optional<double>> scores;
+  scores.reserve(candidates.size());
+  for (const auto* vm : candidates) {
+    scores.push_back(ScoreVm(vm->load, spec, interference, options.placing));
+  }
+  counters.vms_scored += candidates.size();
   for (uint32_t i = 0; i < tasks.size(); ++i) {
-    if (tasks[i].phase == task_phase::kPending && tasks[i].live.empty() &&
-        !PlaceTask(job, {job.id, occurrence, step, i}, now)) {
-      return;  // The others of the step ask for the same.
+    if (!waits(tasks[i])) {
+      continue;
+    }
+    // A task with its last attempt goes where nothing has failed lately.
+    const bool is_last_attempt =
+        tasks[i].failures > 0 && tasks[i].failures + 1 >= job.attempts;
+    const auto rank = [&](size_t at) {
+      const auto& vm = *candidates[at];
+      const bool trusted = !vm.load.suspect &&
+                           !(is_last_attempt && vm.health.HasUnprovenFailure());
+      return std::pair(trusted, *scores[at]);
+    };
+    std::optional<size_t> best;
+    for (size_t at = 0; at < scores.size(); ++at) {
+      if (scores[at] && (!best || rank(at) > rank(*best))) {
+        best = at;
+      }
+    }
+    if (!best) {
+      // The others of the step ask for the same.
+      pass.without_room.push_back({job.service, &spec});
+      return;
+    }
+    auto& vm = *candidates[*best];
+    const uint32_t same_step = vm.load.same_step + 1;
+    Start(job, {job.id, occurrence, step, i}, tasks[i].last_run + 1, vm,
+          pass.now);
+    vm.load = LoadOf(vm, pass.now);
+    vm.load.same_step = same_step;
+    scores[*best] = ScoreVm(vm.load, spec, interference, options.placing);
+    ++counters.vms_scored;
+  }
+}
+
+void coordinator::state::UpdateLoads(const std::vector<vm_state*>& candidates,
+                                     const job_state& job,
+                                     uint32_t occurrence,
+                                     uint32_t step,
+                                     boot_time now) {
+  for (auto* vm : candidates) {
+    if (vm->load_stale || now - vm->load_at >= kPlacingInterval) {
+      vm->load = LoadOf(*vm, now);
+      vm->load_at = now;
+      vm->load_stale = false;
+    }
+    vm->load.same_step = 0;
+  }
+  if (job.in.job.steps[step].max_per_vm == 0) {
+    return;
+  }
+  for (const auto& task : job.record.tasks[occurrence][step]) {
+    for (const auto& live : task.live) {
+      if (const auto at = vms.find(live.vm); at != vms.end()) {
+        ++at->second.load.same_step;
+      }
     }
   }
 }
 
-std::vector<vm_state*> coordinator::state::Candidates(const job_state& job,
-                                                      boot_time now) {
+std::vector<vm_state*> coordinator::state::Candidates(
+    const std::string& service,
+    boot_time now) {
   std::vector<vm_state*> out;
   for (auto& [name, vm] : vms) {
-    if (vm.last.service == job.service && TakesWork(vm, now)) {
+    if (vm.last.service == service && TakesWork(vm, now)) {
       out.push_back(&vm);
     }
   }
@@ -111,11 +223,7 @@
   return out;
 }
 
-vm_load coordinator::state::LoadOf(const vm_state& vm,
-                                   const job_state& job,
-                                   uint32_t occurrence,
-                                   uint32_t step,
-                                   boot_time now) const {
+vm_load coordinator::state::LoadOf(const vm_state& vm, boot_time now) const {
   vm_load out;
   out.rack = vm.last.rack;
   out.labels = vm.last.labels;
@@ -137,44 +245,9 @@
     }
   }
   out.suspect = vm.health.IsSuspect(now);
-  const auto& spec = job.in.job.steps[step];
-  if (spec.max_per_vm > 0) {
-    for (const auto& task : job.record.tasks[occurrence][step]) {
-      for (const auto& live : task.live) {
-        out.same_step += live.vm == vm.name ? 1 : 0;
-      }
-    }
-  }
   return out;
 }
 
-bool coordinator::state::PlaceTask(job_state& job,
-                                   const task_key& key,
-                                   boot_time now) {
-  const auto candidates = Candidates(job, now);
-  std::vector<vm_load> loads;
-  loads.reserve(candidates.size());
-  for (const auto* vm : candidates) {
-    loads.push_back(LoadOf(*vm, job, key.occurrence, key.step, now));
-    // A task with its last attempt goes where nothing has failed lately.
-    const auto& task = *FindTask(job, key);
-    loads.back().suspect =
-        loads.back().suspect ||
-        (task.failures + 1 >= job.attempts && task.failures > 0 &&
-         vm->health.HasUnprovenFailure());
-  }
-  const auto& step = StepOf(job, key);
-  auto best = ChooseVm(loads, step, true, interference, options.placing);
-  if (!best) {
-    best = ChooseVm(loads, step, false, interference, options.placing);
-  }
-  if (!best) {
-    return false;
-  }
-  Start(job, key, FindTask(job, key)->last_run + 1, *candidates[*best], now);
-  return true;
-}
-
 void coordinator::state::MoveThrottled(boot_time now) {
   for (auto& [name, vm] : vms) {
     for (auto& [run, hosted] : vm.runs) {
@@ -207,21 +280,21 @@
                                      const vm_state& than,
                                      boot_time now) {
   const auto& step = StepOf(job, task);
-  for (const auto* vm : Candidates(job, now)) {
-    const auto load = LoadOf(*vm, job, task.occurrence, task.step, now);
-    if (vm->name != than.name && !load.suspect &&
-        ChooseVm({load}, step, true, interference, options.placing) &&
-        FillerSpeed(load, step, interference, options.placing) > kWorthMoving) {
-      return true;
-    }
-  }
-  return false;
+  const auto candidates = Candidates(job.service, now);
+  UpdateLoads(candidates, job, task.occurrence, task.step, now);
+  return std::any_of(
+      candidates.begin(), candidates.end(), [&](const vm_state* vm) {
+        return vm->name != than.name && !vm->load.suspect &&
+               ScoreVm(vm->load, step, interference, options.placing) &&
+               FillerSpeed(vm->load, step, interference, options.placing) >
+                   kWorthMoving;
+      });
 }
 
 void coordinator::state::PlaceGang(job_state& job,
                                    uint32_t occurrence,
                                    uint32_t step,
-                                   boot_time now) {
+                                   placing_pass& pass) {
   auto& tasks = job.record.tasks[occurrence][step];
   uint32_t run = 0;
   for (const auto& task : tasks) {
@@ -231,11 +304,12 @@
     run = std::max(run, task.last_run);
   }
   const auto& spec = job.in.job.steps[step];
-  const auto candidates = Candidates(job, now);
+  const auto candidates = Candidates(job.service, pass.now);
   std::vector<vm_load> loads;
   std::set<std::string> racks{""};
   for (const auto* vm : candidates) {
-    loads.push_back(LoadOf(*vm, job, occurrence, step, now));
+    loads.push_back(LoadOf(*vm, pass.now));
+    ++counters.vms_scored;
     if (spec.same_rack) {
       racks.insert(vm->last.rack);
     }
@@ -269,7 +343,7 @@
     }
     for (uint32_t i = 0; i < tasks.size(); ++i) {
       Start(job, {job.id, occurrence, step, i}, run + 1, *candidates[chosen[i]],
-            now);
+            pass.now);
     }
     return;
   }
--- a/src/workflow/coordinator_runs.cc
+++ b/src/workflow/coordinator_runs.cc
@@ -47,6 +47,7 @@
                                  : 0;
   }
   vm.runs.emplace(run, std::move(hosted));
+  vm.load_stale = true;
 }
 
 void coordinator::state::Unhost(vm_state& vm,
@@ -58,6 +59,8 @@
         step->latency_target.count() > 0 ? step->demand.millicores : 0;
   }
   vm.runs.erase(at);
+  vm.load_stale = true;
+  placing_due = true;
 }
 
 void coordinator::state::EndRun(vm_state& vm,
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -59,6 +59,25 @@
   int64_t serving_millicores = 0;
   boot_time learned_at{};      // when its measurements were last learned from
   interference_sample sample;  // as of then
+
+  vm_load load;  // for placing, as of `load_at`
+  boot_time load_at{};
+  bool load_stale = true;  // something there has changed since
+};
+
+// What one pass over the waiting jobs has found out.
+struct placing_pass {
+  boot_time now{};
+  int64_t now_unix_ms = 0;
+  // VMs that take work, by service.
+  std::map<std::string, std::vector<vm_state*>> vms;
+  // Steps that had no room anywhere. Within a pass room only shrinks, so what
+  // asks for as much has none either.
+  struct refused_step {
+    std::string service;
+    const step_spec* step = nullptr;
+  };
+  std::vector<refused_step> without_room;
 };
 
 struct job_state {
@@ -89,6 +108,13 @@
   std::set<std::string> out_of_service;
   std::map<std::string, std::unique_ptr<job_state>> jobs;
   std::set<std::string> active;  // jobs without a final phase
+  // The same in the order in which they are placed.
+  std::vector<job_state*> order;
+  bool order_stale = true;
+  bool placing_due = true;  // something has changed since the last pass
+  boot_time placed_at{};    // when that was
+  int64_t placed_unix_ms = 0;
+  boot_time checked_at{};  // when runs were last looked at for hangs
   std::set<std::string> dirty;
   std::vector<std::string> batch;
   bool batch_is_whole = false;
@@ -142,12 +168,18 @@
 
   // Placing.
   void Place(boot_time now, int64_t now_unix_ms);
+  void PlaceJob(job_state& job, placing_pass& pass);
   bool StepIsReady(const job_state& job, size_t occurrence, size_t step) const;
   void PlaceStep(job_state& job,
                  uint32_t occurrence,
                  uint32_t step,
-                 boot_time now);
-  bool PlaceTask(job_state& job, const task_key& key, boot_time now);
+                 placing_pass& pass);
+  // Brings the loads of VMs up to date for a step of a job.
+  void UpdateLoads(const std::vector<vm_state*>& candidates,
+                   const job_state& job,
+                   uint32_t occurrence,
+                   uint32_t step,
+                   boot_time now);
   // Stops one filler that is throttled for long where it would be faster.
   void MoveThrottled(boot_time now);
   bool HasFasterVm(job_state& job,
@@ -157,15 +189,12 @@
   void PlaceGang(job_state& job,
                  uint32_t occurrence,
                  uint32_t step,
-                 boot_time now);
-  std::vector<vm_state*> Candidates(const job_state& job, boot_time now);
+                 placing_pass& pass);
+  std::vector<vm_state*> Candidates(const std::string& service, boot_time now);
   // Images of the serving tasks on a VM.
   std::vector<std::string> ServingOn(const vm_state& vm) const;
-  vm_load LoadOf(const vm_state& vm,
-                 const job_state& job,
-                 uint32_t occurrence,
-                 uint32_t step,
-                 boot_time now) const;
+  // Without what depends on the step to be placed.
+  vm_load LoadOf(const vm_state& vm, boot_time now) const;
   void Start(job_state& job,
              const task_key& key,
              uint32_t run,
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -46,6 +46,7 @@
     out.worker_born = vm.last.worker_born;
     return out;
   }
+  const bool took_work = state_->TakesWork(vm, now);
   const bool first = !vm.heard || vm.last.life != in.life;
   const auto before = vm.last.phase;
   const auto born_before = vm.last.worker_born;
@@ -59,6 +60,7 @@
   vm.last.runs.clear();
   vm.last.ends.clear();
   vm.last.refusals.clear();
+  vm.load_stale = true;
   if (first || before != in.phase || born_before != in.worker_born) {
     state_->Log("vm_heard",
                 {{"vm", in.vm},
@@ -88,6 +90,8 @@
   const auto age = std::chrono::duration_cast<millis>(now - confirmed);
   out.grant = std::max(millis(0), state_->options.grant - age);
   vm.over_at = std::max(vm.over_at, now + WithClockMargin(out.grant));
+  state_->placing_due =
+      state_->placing_due || (!took_work && state_->TakesWork(vm, now));
   out.worker_born = in.worker_born;
   out.acknowledged = vm.ends_durable;
   return out;
--- a/src/workflow/interference_model.cc
+++ b/src/workflow/interference_model.cc
@@ -84,8 +84,8 @@
     const double rate = error > 0 ? kHarmLearningRate : kLearningRate;
     const double step = rate * error / norm / same;
     for (const auto& [image, cores] : changes) {
-      auto& weight = weights_.try_emplace({image, task.image}, kUnknownWeight)
-                         .first->second;
+      auto& weight =
+          weights_[task.image].try_emplace(image, kUnknownWeight).first->second;
       weight =
           std::clamp(weight + step * cores, kSmallestWeight, kLargestWeight);
     }
@@ -94,24 +94,30 @@
 
 double interference_model::Weight(const std::string& filler,
                                   const std::string& serving) const {
-  const auto at = weights_.find({filler, serving});
-  return at == weights_.end() ? kUnknownWeight : at->second;
+  const auto of_serving = weights_.find(serving);
+  if (of_serving == weights_.end()) {
+    return kUnknownWeight;
+  }
+  const auto at = of_serving->second.find(filler);
+  return at == of_serving->second.end() ? kUnknownWeight : at->second;
 }
 
 std::vector<pair_weight> interference_model::WeightsFor(
     const std::vector<std::string>& serving) const {
   std::vector<pair_weight> out;
-  for (const auto& [pair, weight] : weights_) {
-    if (std::find(serving.begin(), serving.end(), pair.second) !=
-        serving.end()) {
-      out.push_back({pair.first, pair.second, weight});
+  for (const auto& [image, weights] : weights_) {
+    if (std::find(serving.begin(), serving.end(), image) == serving.end()) {
+      continue;
+    }
+    for (const auto& [filler, weight] : weights) {
+      out.push_back({filler, image, weight});
     }
   }
   return out;
 }
 
 void interference_model::Set(const pair_weight& in) {
-  weights_[{in.filler, in.serving}] = in.weight;
+  weights_[in.serving][in.filler] = in.weight;
 }
 
 }  // namespace chiveglade::workflow
--- a/src/workflow/placement.cc
+++ b/src/workflow/placement.cc
@@ -68,6 +68,9 @@
   const double asked =
       wanted + static_cast<double>(vm.filler_millicores) / kMillicores;
   double speed = std::clamp(idle / asked, 0.0, 1.0);
+  if (speed < options.lowest_speed) {
+    return speed;  // Too slow already; the rest costs more to work out.
+  }
   for (const auto& serving : vm.serving) {
     double room = options.highest_ratio - serving.ratio;
     for (const auto& filler : vm.new_fillers) {
@@ -81,41 +84,51 @@
   return speed;
 }
 
+std::optional<double> ScoreVm(const vm_load& vm,
+                              const step_spec& step,
+                              const interference_model& model,
+                              const placement_options& options) {
+  // Speed counts before free processors, and a VM where no filler can disturb
+  // before a little more speed.
+  constexpr double kSpeedScore = 4;
+  constexpr double kNothingServes = 1;
+  if (!HasRoom(vm, step) || !IsAllowed(vm, step)) {
+    return std::nullopt;
+  }
+  double score = FreeShare(vm);
+  if (step.fills) {
+    const double speed = FillerSpeed(vm, step, model, options);
+    if (speed < options.lowest_speed) {
+      return std::nullopt;
+    }
+    score += kSpeedScore * speed + (vm.serving.empty() ? kNothingServes : 0);
+  } else if (step.latency_target.count() > 0) {
+    score = ServingScore(vm, step) - score;
+  }
+  if (vm.suspect) {
+    score -= options.suspect_penalty;
+  }
+  if (!step.preferred_rack.empty() && vm.rack != step.preferred_rack) {
+    score -= options.remote_penalty;
+  }
+  return score;
+}
+
 std::optional<size_t> ChooseVm(const std::vector<vm_load>& vms,
                                const step_spec& step,
                                bool strict,
                                const interference_model& model,
                                const placement_options& options) {
-  // Speed counts before free processors, and a VM where no filler can disturb
-  // before a little more speed.
-  constexpr double kSpeedScore = 4;
-  constexpr double kNothingServes = 1;
   std::optional<size_t> best;
   double best_score = 0;
   for (size_t i = 0; i < vms.size(); ++i) {
-    const auto& vm = vms[i];
-    if (!IsAllowed(vm, step) || (strict && vm.suspect) || !HasRoom(vm, step)) {
+    if (strict && vms[i].suspect) {
       continue;
     }
-    double score = FreeShare(vm);
-    if (step.fills) {
-      const double speed = FillerSpeed(vm, step, model, options);
-      if (speed < options.lowest_speed) {
-        continue;
-      }
-      score += kSpeedScore * speed + (vm.serving.empty() ? kNothingServes : 0);
-    } else if (step.latency_target.count() > 0) {
-      score = ServingScore(vm, step) - score;
-    }
-    if (vm.suspect) {
-      score -= options.suspect_penalty;
-    }
-    if (!step.preferred_rack.empty() && vm.rack != step.preferred_rack) {
-      score -= options.remote_penalty;
-    }
-    if (!best || score > best_score) {
+    const auto score = ScoreVm(vms[i], step, model, options);
+    if (score && (!best || *score > best_score)) {
       best = i;
-      best_score = score;
+      best_score = *score;
     }
   }
   return best;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -356,4 +356,45 @@
   CHECK(world.Starts().size() == 1);
 }
 
+// Plays the backlog of an overload: more is ready than fits, and hundreds of
+// reports a second that change nothing. The work of placing must not grow with
+// them, or the coordinator falls behind when it is needed most.
+TEST_CASE("a backlog is not weighed again for reports without news") {
+  constexpr int kVms = 54;
+  constexpr int kJobs = 200;
+  coordinator_fixture world;
+  for (int i = 0; i < kVms; ++i) {
+    world.ReportRunning("vm" + std::to_string(i), {});
+  }
+  const auto fills_a_vm = MakeStep(kVms, kVmSize.millicores);
+  world.AddJob(kJob, MakeSubmission({fills_a_vm}));
+  REQUIRE(world.Starts().size() == kVms);
+  for (int i = 0; i < kJobs; ++i) {
+    world.AddJob("job" + std::to_string(i), MakeSubmission({fills_a_vm}));
+  }
+  CHECK(world.Starts().empty());
+  const auto before = world.core->counters().vms_scored;
+  for (int i = 0; i < kVms; ++i) {
+    world.ReportRunning("vm" + std::to_string(i),
+                        {Run(0, static_cast<uint32_t>(i))});
+    CHECK(world.Starts().empty());
+  }
+  CHECK(world.core->counters().vms_scored == before);
+  // Time alone may change what is allowed. Jobs that ask for as much as one
+  // that found no room need not be weighed.
+  world.now += millis(1'000);
+  CHECK(world.Starts().empty());
+  CHECK(world.core->counters().vms_scored - before <= kVms);
+}
+
+TEST_CASE("room that comes free is used by the next pass") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob(kJob, MakeSubmission({MakeStep(2, kVmSize.millicores)}));
+  REQUIRE(world.Starts().size() == 1);
+  CHECK(world.Starts().empty());
+  world.ReportEnd("vm", 1, Run(0, 0), run_result::kDone);
+  CHECK(world.Starts().size() == 1);
+}
+
 }  // namespace chiveglade::workflow
