Report runs twice a second, and only news between

A report listed all runs of a VM each time one of them ended.

Change: reports between the regular ones carry ends and refusals alone (`news_only`). Loads of VMs keep serving tasks and new fillers by image, and weights are looked up only where the filler is noticeable.

Tests: "reports of news between the regular ones list no runs", "a new coordinator gets the list of runs with the first report", "a report of news alone says nothing of the other runs". "a start is called once and reported" now waits for the regular report, which is the one that lists runs.

--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -86,6 +86,9 @@
   resources capacity;
   millis remaining{0};  // kDraining: at least so long until it goes
 
+  // True if only ends and refusals are news: `runs` is left out, and what the
+  // last report said of them stands.
+  bool news_only = false;
   // True if `runs` is the worker's whole list as read under `epoch`.
   bool complete = false;
   std::vector<run_status> runs;
--- a/include/chiveglade/workflow/placement.h
+++ b/include/chiveglade/workflow/placement.h
@@ -28,9 +28,21 @@
                        // for fillers
   int64_t serving_millicores = 0;  // the part of it for serving tasks
   int64_t filler_millicores = 0;   // asked for by the fillers there
-  std::vector<interference_sample::serving_task> serving;
-  // Fillers placed so lately that the ratios of `serving` do not show them.
+  // Serving tasks there, by image.
+  struct serving_image {
+    std::string image;
+    double ratio = 0;  // highest tail latency of them as a share of its target
+    uint32_t tasks = 1;
+    friend bool operator==(const serving_image&,
+                           const serving_image&) = default;
+  };
+  std::vector<serving_image> serving;
+  // Fillers placed so lately that the ratios of `serving` do not show them, one
+  // entry for each image.
   std::vector<interference_sample::filler> new_fillers;
+
+  void AddServing(const std::string& image, double ratio);
+  void AddNewFiller(const std::string& image, double cores);
   uint32_t same_step = 0;  // tasks of the same step there
   bool suspect = false;    // runs failed or hung there lately
 
--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -157,6 +157,12 @@
   std::map<run_key, boot_time> refused_at_;
   uint64_t acknowledged_ = 0;
   boot_time grant_until_{};
+  // The newest report with the list of runs that was answered.
+  struct {
+    uint64_t epoch = 0;
+    int64_t worker_born = 0;
+    boot_time at{};
+  } listed_report_;
   uint64_t listed_epoch_ = 0;  // the lists were read under this epoch
   bool news_ = false;
   pacer pacer_;
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -15,7 +15,7 @@
 constexpr millis kDefaultEstimate{1'000};
 // Runs are looked at this often for those that hang or crawl, which shows in
 // reports half a second apart.
-constexpr millis kCheckInterval{50};
+constexpr millis kCheckInterval{100};
 
 // Time that the longest chain of steps takes by the estimates.
 millis ChainOf(const job_spec& job) {
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -236,12 +236,11 @@
       continue;
     }
     if (hosted.step->latency_target.count() > 0) {
-      const double ratio = RatioOf(hosted);
-      out.serving.push_back({hosted.step->image, ratio, ratio});
+      out.AddServing(hosted.step->image, RatioOf(hosted));
     } else if (hosted.step->fills && now - hosted.placed_at < kSettling) {
-      out.new_fillers.push_back(
-          {hosted.step->image,
-           static_cast<double>(hosted.step->demand.millicores) / kMillicores});
+      out.AddNewFiller(
+          hosted.step->image,
+          static_cast<double>(hosted.step->demand.millicores) / kMillicores);
     }
   }
   out.suspect = vm.health.IsSuspect(now);
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -50,6 +50,7 @@
   const bool first = !vm.heard || vm.last.life != in.life;
   const auto before = vm.last.phase;
   const auto born_before = vm.last.worker_born;
+  const bool was_complete = vm.last.complete;
   if (in.worker_born > vm.last.worker_born) {
     vm.ends_applied = vm.ends_durable = vm.ends_batched = 0;
     vm.unwanted.clear();
@@ -57,6 +58,7 @@
   vm.heard = true;
   vm.heard_at = now;
   vm.last = in;
+  vm.last.complete = in.news_only ? was_complete : in.complete;
   vm.last.runs.clear();
   vm.last.ends.clear();
   vm.last.refusals.clear();
@@ -83,7 +85,7 @@
   state_->EndAllBefore(vm, in.worker_born, "worker_restarted", now);
   if (in.phase == worker_phase::kGone) {
     state_->EndAllBefore(vm, INT64_MAX, "worker_gone", now);
-  } else {
+  } else if (!in.news_only) {
     state_->ApplyRuns(vm, in, now);
     state_->Learn(vm, now);
   }
--- a/src/workflow/message.cc
+++ b/src/workflow/message.cc
@@ -108,7 +108,7 @@
                  in.worker_born, static_cast<int>(in.phase), in.instance,
                  in.service, in.data_centre, in.rack);
   Append(out, state::ToCbor(in.labels), state::ToCbor(in.capacity),
-         in.remaining.count(), in.complete);
+         in.remaining.count(), in.news_only, in.complete);
   out.push_back(
       ToCborList(in.runs, [](const run_status& at) { return ToCbor(at); }));
   out.push_back(
@@ -137,6 +137,7 @@
     out.labels = in.Texts();
     out.capacity = in.Resources();
     out.remaining = in.Millis();
+    out.news_only = in.Bool();
     out.complete = in.Bool();
     out.runs = in.List<run_status>(ReadStatus);
     out.ends = in.List<run_end>(ReadEnd);
--- a/src/workflow/placement.cc
+++ b/src/workflow/placement.cc
@@ -44,16 +44,41 @@
   if (vm.serving.empty()) {
     return 0;
   }
-  const auto same =
-      std::count_if(vm.serving.begin(), vm.serving.end(),
-                    [&](const auto& task) { return task.image == step.image; });
-  const double share =
-      static_cast<double>(same) / static_cast<double>(vm.serving.size());
+  uint32_t same = 0;
+  uint32_t all = 0;
+  for (const auto& serving : vm.serving) {
+    same += serving.image == step.image ? serving.tasks : 0;
+    all += serving.tasks;
+  }
+  const double share = static_cast<double>(same) / static_cast<double>(all);
   return kSame * share + kOther * (1 - share);
 }
 
 }  // namespace
 
+void vm_load::AddServing(const std::string& image, double ratio) {
+  const auto at =
+      std::find_if(serving.begin(), serving.end(),
+                   [&](const auto& item) { return item.image == image; });
+  if (at == serving.end()) {
+    serving.push_back({image, ratio});
+  } else {
+    at->ratio = std::max(at->ratio, ratio);
+    ++at->tasks;
+  }
+}
+
+void vm_load::AddNewFiller(const std::string& image, double cores) {
+  const auto at =
+      std::find_if(new_fillers.begin(), new_fillers.end(),
+                   [&](const auto& item) { return item.image == image; });
+  if (at == new_fillers.end()) {
+    new_fillers.push_back({image, cores});
+  } else {
+    at->cores += cores;
+  }
+}
+
 double FillerSpeed(const vm_load& vm,
                    const step_spec& step,
                    const interference_model& model,
@@ -72,14 +97,15 @@
     return speed;  // Too slow already; the rest costs more to work out.
   }
   for (const auto& serving : vm.serving) {
+    const double adds = model.Weight(step.image, serving.image) * wanted;
+    if (adds <= kNoticeable) {
+      continue;
+    }
     double room = options.highest_ratio - serving.ratio;
     for (const auto& filler : vm.new_fillers) {
       room -= model.Weight(filler.image, serving.image) * filler.cores;
     }
-    const double adds = model.Weight(step.image, serving.image) * wanted;
-    if (adds > kNoticeable) {
-      speed = std::min(speed, std::max(0.0, room / adds));
-    }
+    speed = std::min(speed, std::max(0.0, room / adds));
   }
   return speed;
 }
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -12,6 +12,9 @@
 constexpr millis kShortestGrant{300};
 // While ends wait for their acknowledgement the lists change only by new ends.
 constexpr millis kHoldOff{60};
+// Reports list the runs this often; those between carry only ends and refusals,
+// which come several times as often. Just below the usual report interval.
+constexpr millis kListEvery{450};
 // Longer than an order may be on its way and still be valid.
 constexpr millis kRefusalMemory{30'000};
 constexpr double kMillicores = 1'000;  // in a core
@@ -649,13 +652,18 @@
               : beat_.draining ? worker_phase::kDraining
                                : worker_phase::kReady;
   constexpr millis kFreshLists{1'500};
-  out.complete = has_clock_ && listed_epoch_ == epoch_ &&
-                 now - lease_answered_ < kFreshLists;
-  for (const auto& [run, item] : runs_) {
-    out.runs.push_back(item.status);
-    out.runs.back().pace = std::min(item.paced, kFullPace);
-    if (item.latency_ms > 0) {
-      out.runs.back().load = static_cast<int32_t>(item.latency_ms);
+  out.news_only = listed_report_.epoch == epoch_ &&
+                  listed_report_.worker_born == born_ &&
+                  now - listed_report_.at < kListEvery;
+  if (!out.news_only) {
+    out.complete = has_clock_ && listed_epoch_ == epoch_ &&
+                   now - lease_answered_ < kFreshLists;
+    for (const auto& [run, item] : runs_) {
+      out.runs.push_back(item.status);
+      out.runs.back().pace = std::min(item.paced, kFullPace);
+      if (item.latency_ms > 0) {
+        out.runs.back().load = static_cast<int32_t>(item.latency_ms);
+      }
     }
   }
   out.ends = ends_;
@@ -669,6 +677,9 @@
   if (!OnCoordinator(in.epoch, "")) {
     return;
   }
+  if (!sent_report.news_only) {
+    listed_report_ = {sent_report.epoch, sent_report.worker_born, sent};
+  }
   if (in.grant > millis(0)) {
     grant_until_ = std::max(grant_until_, sent + in.grant);
   }
--- a/tests/workflow/codec_test.cc
+++ b/tests/workflow/codec_test.cc
@@ -19,6 +19,7 @@
   out.phase = worker_phase::kDraining;
   out.labels = {"a", "r1"};
   out.capacity = kVmSize;
+  out.news_only = true;
   out.complete = true;
   run_status status;
   status.run = {{"job", 1, 2, 3}, 4};
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -397,4 +397,23 @@
   CHECK(world.Starts().size() == 1);
 }
 
+TEST_CASE("a report of news alone says nothing of the other runs") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob(kJob, MakeSubmission({MakeStep(2)}));
+  REQUIRE(world.Starts().size() == 2);
+  world.ReportRunning("vm", {Run(0, 0), Run(0, 1)});
+  world.now += millis(1'000);
+  auto in = world.MakeReport("vm");
+  in.news_only = true;
+  in.complete = false;
+  in.ends.push_back({1, Run(0, 0), run_result::kDone, ""});
+  world.Report(in);
+  // The other run is neither over nor ordered again.
+  CHECK(world.Starts().empty());
+  world.ReportEnd("vm", 2, Run(0, 1), run_result::kDone);
+  world.Commit();
+  CHECK(world.core->ViewOf(kJob)->phase == job_phase::kCompleted);
+}
+
 }  // namespace chiveglade::workflow
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -114,6 +114,7 @@
   world.Order({fixture::Start(0)});
   CHECK(world.core->TakeStarts(world.now).empty());
   world.Lease({fixture::Run(0)}, {});
+  world.now += millis(500);  // The regular reports list runs.
   world.Report();
   REQUIRE(world.last.runs.size() == 1);
   CHECK(world.last.runs[0].started);
@@ -368,4 +369,36 @@
   CHECK(report.phase == worker_phase::kUnknown);
 }
 
+// Hundreds of ends a second reach a coordinator with a fraction of a processor:
+// its cost must follow the news, not the number of runs on the VM.
+TEST_CASE("reports of news between the regular ones list no runs") {
+  fixture world;
+  const run_key run{{"00000000000000aa", 0, 0, 0}, 1};
+  const run_key other{{"00000000000000aa", 0, 0, 1}, 1};
+  world.now += millis(500);
+  world.Lease({run, other}, {});
+  world.Report();
+  CHECK_FALSE(world.last.news_only);
+  CHECK(world.last.runs.size() == 2);
+  world.Lease({run}, {{1, other, run_result::kDone, ""}});
+  world.Report();
+  CHECK(world.last.news_only);
+  CHECK(world.last.runs.empty());
+  CHECK(world.last.ends.size() == 1);
+  world.now += millis(500);
+  world.Report();
+  CHECK_FALSE(world.last.news_only);
+  CHECK(world.last.complete);
+  CHECK(world.last.runs.size() == 1);
+}
+
+TEST_CASE("a new coordinator gets the list of runs with the first report") {
+  fixture world;
+  world.Report();
+  REQUIRE(world.last.news_only);
+  world.core->OnCoordinator(2, "successor");
+  world.Report();
+  CHECK_FALSE(world.last.news_only);
+}
+
 }  // namespace chiveglade::workflow
