Serve callers of a gateway that does not reach the store through a peer

One edge was cut off from the store for 12 s; it tried each write for half a second, answered 503, and callers came back to the same edge, since it called itself ready.

Change: `store_link` judges by the outcome of all calls whether the store is away; while it is, `request_relay` asks the coordinator's gateway whether it reaches the store. If it does, requests are passed on to it; otherwise they are refused at once, as not run, without a call. A gateway that reaches neither is not ready.

--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -244,8 +244,9 @@
 }
 
 workflow::report_answer coordinator_host::OnReport(const workflow::report& in) {
+  reported_at_ = hooks_.clock();
   const auto out =
-      coordinator_->OnReport(in, hooks_.clock(), writer_->confirmed());
+      coordinator_->OnReport(in, reported_at_, writer_->confirmed());
   SchedulePump(kOnce);
   return out;
 }
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -73,6 +73,8 @@
   workflow::report_answer OnReport(const workflow::report& in);
   std::optional<workflow::job_view> ViewOf(const std::string& id) const;
   size_t PendingOf(const std::string& queue) const;
+  // When the last report came, in any life of the role.
+  boot_time reported_at() const { return reported_at_; }
 
   void UpdateGauges();
 
@@ -105,6 +107,7 @@
   std::set<std::string> out_of_service_;
   workflow::leader_row leader_;
   boot_time next_commit_{};
+  boot_time reported_at_{};
   net::asio::steady_timer pump_timer_;
   bool pump_scheduled_ = false;
   boot_time pump_at_{};
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -21,6 +21,8 @@
 #include "peer_call.h"
 #include "platform/operator_rows.h"
 #include "platform/table_client.h"
+#include "request_relay.h"
+#include "store_link.h"
 
 namespace chiveglade::app {
 
@@ -33,6 +35,9 @@
 // The operators' rows are watched with calls this long, so that a connection
 // that went silent is noticed before a change is overdue.
 constexpr millis kOperatorWait{1'200};
+// A coordinator that no runner has reported to for this long is cut off: each
+// reports twice a second.
+constexpr millis kOthersSilent{1'500};
 
 }  // namespace
 
@@ -44,8 +49,13 @@
   observe::metrics metrics;
   observe::event_log events{STDOUT_FILENO, {}, &boot_clock::now};
   peer_pool peers{loop, PeerOptions()};
+  store_link link{&boot_clock::now,
+                  [this](const char* event, const observe::log_fields& fields) {
+                    Log(event, fields);
+                  }};
   store::table_service table;
   std::unique_ptr<coordinator_host> host;
+  std::unique_ptr<request_relay> relay;
   std::unique_ptr<job_front> front;
   std::unique_ptr<store::table_follower> operators;
   std::unique_ptr<member_row> member;
@@ -69,7 +79,11 @@
   void AdoptCatalogue(const store::row& row);
   void HandlePeer(const net::h2_stream_ptr& stream, const net::yield& yield);
   net::http_reply AnswerPeer(const std::string& path, const std::string& body);
-  bool IsReady() const { return catalogue && !stopping; }
+  bool IsReady() const {
+    // An isolated gateway sends callers to others, unlike one that shares an
+    // outage with them.
+    return catalogue && !stopping && relay->access() != store_access::kIsolated;
+  }
   std::string Status() const;
   void StartTimers();
   void AddStopSteps(lifecycle& cycle);
@@ -85,7 +99,7 @@
   if (!made) {
     return made.last_reason();
   }
-  table = *std::move(made);
+  table = link.Observe(*std::move(made));
   return done{};
 }
 
@@ -104,13 +118,34 @@
       control, peers, metrics, std::move(options),
       coordinator_host::hooks{table, &boot_clock::now, &UnixMillis,
                               MakeSystemRandom(), log});
+  relay = std::make_unique<request_relay>(
+      control,
+      request_relay::hooks{
+          [this] { return link.is_away(); },
+          [this] {
+            const auto& leader = host->leader();
+            return leader.holder == settings.name ? "" : leader.address;
+          },
+          [this] {
+            return boot_clock::now() - host->reported_at() < kOthersSilent;
+          },
+          [this](const std::string& address, const char* path,
+                 const std::string& body, millis timeout,
+                 const net::yield& yield) {
+            return CallPeer(peers, address, path, body, timeout, yield);
+          },
+          log});
   front = std::make_unique<job_front>(
       control, peers, metrics, *host,
       job_front::hooks{table, &boot_clock::now, &UnixMillis,
                        [this]() -> const workflow::catalogue* {
                          return catalogue ? &*catalogue : nullptr;
                        },
-                       log});
+                       log, [this] { return relay->access(); },
+                       [this](const net::http_request& request, millis timeout,
+                              const net::yield& yield) {
+                         return relay->Forward(request, timeout, yield);
+                       }});
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
@@ -238,7 +273,14 @@
     stream->Reset(net::h2_error::kEnhanceYourCalm);
     return;
   }
-  const auto reply = AnswerPeer(path, *body);
+  net::http_reply reply;
+  if (path == kRequestPath) {
+    const auto request = DecodeRequest(*body);
+    reply = request ? front->HandleForPeer(*request, yield)
+                    : net::http_reply{400, {}, request.last_reason().detail};
+  } else {
+    reply = AnswerPeer(path, *body);
+  }
   Reply(*stream, reply.status, reply.headers, reply.body, yield);
 }
 
@@ -261,6 +303,9 @@
     return answer ? net::http_reply{200, {}, *answer}
                   : net::http_reply{404, {}, ""};
   }
+  if (path == kStorePath) {
+    return {link.is_away() ? 503 : 200, {}, ""};
+  }
   if (path == kLeaderPath) {
     if (const auto row = workflow::ReadLeader(body)) {
       host->OnLeader(*row);
@@ -283,6 +328,7 @@
 
 void gateway_role::parts::StartTimers() {
   host->Start();
+  relay->Start();
   member->Start();
   net::asio::post(control, [this] { FollowOperators(); });
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -29,6 +29,9 @@
 // a caller that is told early can still be served in time elsewhere.
 constexpr int kTargetShare = 5;
 constexpr millis kPeerTimeout{350};
+// Longest wait for the reply to a request that a peer was given. As long as a
+// submission is worked on there.
+constexpr millis kMaxForwardTime{1'600};
 constexpr size_t kMaxFinal = 20'000;
 // A count of pending jobs may be this old.
 constexpr millis kPendingAge{1'500};
@@ -93,7 +96,9 @@
                                   const net::yield& yield) {
   const auto began = hooks_.clock();
   std::string kind = "other";
-  auto reply = Route(request, kind, yield);
+  auto reply = Access() == store_access::kThroughPeer
+                   ? Forward(request, yield)
+                   : Route(request, kind, yield);
   const char* outcome = reply.status < 300    ? "answered"
                         : reply.status == 410 ? "unknown_job"
                         : reply.status == 504 ? "unknown_outcome"
@@ -106,6 +111,34 @@
   return reply;
 }
 
+net::http_reply job_front::HandleForPeer(const net::http_request& request,
+                                         const net::yield& yield) {
+  std::string kind;
+  return Route(request, kind, yield);
+}
+
+net::http_reply job_front::Forward(const net::http_request& request,
+                                   const net::yield& yield) {
+  const auto timeout =
+      std::min(DeadlineOf(request) - kAnswerMargin, kMaxForwardTime);
+  auto reply = hooks_.forward(request, timeout, yield);
+  const std::string path(net::PathOf(request.target));
+  hooks_.log("request_forwarded",
+             {{"method", request.method},
+              {"path", path},
+              {"outcome", reply ? std::to_string(reply->status)
+                                : reply.last_reason().code}});
+  if (reply) {
+    return *std::move(reply);
+  }
+  if (request.method == "GET") {
+    return Refuse(503, "peer_silent", "the state cannot be read at present");
+  }
+  return net::MakeRefusal(504, verdict::kMayHaveRun, "peer_silent",
+                          "another gateway did not say what became of the "
+                          "request; send it again");
+}
+
 net::http_reply job_front::Route(const net::http_request& request,
                                  std::string& kind,
                                  const net::yield& yield) {
@@ -164,6 +197,13 @@
   accepted.attempts = in.queue.attempts;
   accepted.accepted_unix_ms = hooks_.unix_ms();
   accepted.job = *std::move(job);
+  if (Access() != store_access::kDirect) {
+    hooks_.log("job_not_accepted", {{"job", in.id},
+                                    {"queue", in.queue.name},
+                                    {"may_be_stored", "no"},
+                                    {"reason", ToString(Access())}});
+    return Refuse(503, "store_away", "the store is out of reach at present");
+  }
   const std::string key = kJobPrefix + in.id;
   const store::transaction change{
       {{key, 0}}, {{key, workflow::EncodeSubmission(accepted)}}};
@@ -219,6 +259,9 @@
 }
 
 net::http_reply job_front::Cancel(const call& in, const net::yield& yield) {
+  if (Access() != store_access::kDirect) {
+    return Refuse(503, "store_away", "the store is out of reach at present");
+  }
   const auto until = in.began + in.time_left - kAnswerMargin;
   const std::string key = kJobPrefix + in.id;
   for (;;) {
@@ -277,6 +320,9 @@
     Remember(id, *phase);
     return phase;
   }
+  if (Access() != store_access::kDirect) {
+    return reason{"store_away", "neither coordinator nor store is in reach"};
+  }
   auto phase = ReadPhase(id, yield);
   if (phase && *phase) {
     Remember(id, **phase);
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -12,6 +12,7 @@
 #include "chiveglade/observe/metrics.h"
 #include "chiveglade/workflow/job_record.h"
 #include "coordinator_host.h"
+#include "request_relay.h"
 
 namespace chiveglade::app {
 
@@ -27,6 +28,13 @@
     std::function<int64_t()> unix_ms;
     std::function<const workflow::catalogue*()> catalogue;  // null: none yet
     std::function<void(const char*, const observe::log_fields&)> log;
+    // How callers can be served, and a peer's reply to a request. Optional; the
+    // store is then taken to be in reach.
+    std::function<store_access()> access;
+    std::function<result<net::http_reply>(const net::http_request&,
+                                          millis timeout,
+                                          const net::yield&)>
+        forward;
   };
 
   job_front(strand on,
@@ -38,6 +46,9 @@
   net::http_reply Handle(const net::http_request& request,
                          const net::yield& yield);
 
+  // A request that another gateway passes on.
+  net::http_reply HandleForPeer(const net::http_request& request,
+                                const net::yield& yield);
   // What this process answers to other gateways; nothing if it does not decide.
   std::optional<std::string> PhaseForPeer(const std::string& id) const;
   std::optional<std::string> PendingForPeer(const std::string& queue) const;
@@ -52,6 +63,11 @@
   // A phase, or none if the job does not exist.
   using phase_or_none = std::optional<workflow::job_phase>;
 
+  store_access Access() const {
+    return hooks_.access ? hooks_.access() : store_access::kDirect;
+  }
+  net::http_reply Forward(const net::http_request& request,
+                          const net::yield& yield);
   net::http_reply Route(const net::http_request& request,
                         std::string& kind,
                         const net::yield& yield);
--- a/src/app/peer_call.h
+++ b/src/app/peer_call.h
@@ -17,6 +17,8 @@
 inline constexpr char kLeaderPath[] = "/leader";    // a new coordinator
 inline constexpr char kPhasePath[] = "/phase";      // body: a job's ID
 inline constexpr char kPendingPath[] = "/pending";  // body: a queue's name
+inline constexpr char kStorePath[] = "/store";      // 200 if it is reached
+inline constexpr char kRequestPath[] = "/request";  // body: a caller's request
 
 // Largest body of a message between processes. A report of 500 ends with all
 // fields at their longest stays below it.
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -47,7 +47,15 @@
                          [this]() -> const workflow::catalogue* {
                            return has_catalogue ? &catalogue : nullptr;
                          },
-                         [](const char*, const observe::log_fields&) {}});
+                         [](const char*, const observe::log_fields&) {},
+                         [this] { return access; },
+                         [this](const net::http_request&, millis,
+                                const net::yield&) -> result<net::http_reply> {
+                           if (!peer_answers) {
+                             return reason{"answer_timeout", "no progress"};
+                           }
+                           return net::http_reply{200, {}, "from the peer"};
+                         }});
   }
 
   net::http_reply Send(const std::string& method,
@@ -88,6 +96,8 @@
   boot_time now{millis(1'000'000)};
   workflow::catalogue catalogue;
   bool has_catalogue = true;
+  store_access access = store_access::kDirect;
+  bool peer_answers = true;
   std::unique_ptr<coordinator_host> host;
   std::unique_ptr<job_front> front;
 };
@@ -190,4 +200,28 @@
   CHECK(world.store.commits() == 0);
 }
 
+// Plays callers of a gateway that is cut off from the store.
+TEST_CASE("a gateway without the store has a peer serve, or refuses at once") {
+  front_world world;
+  const auto began = world.now;
+  SECTION("a peer reaches the store") {
+    world.access = store_access::kThroughPeer;
+    CHECK(world.Submit().body == "from the peer");
+    world.peer_answers = false;
+    // The peer may have stored it.
+    CHECK(world.Submit().status == 504);
+    CHECK(world.Send("GET", std::string("/jobs/") + kId).status == 503);
+  }
+  SECTION("nobody does") {
+    world.access = GENERATE(store_access::kAwayForAll, store_access::kIsolated);
+    for (const auto* method : {"POST", "DELETE", "GET"}) {
+      const auto reply = world.Send(method, std::string("/jobs/") + kId, kBody);
+      CHECK(reply.status == 503);
+      CHECK_FALSE(net::FindHeader(reply.headers, "retry-after").empty());
+    }
+  }
+  CHECK(world.now == began);  // No call to the store was waited for.
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+}
+
 }  // namespace chiveglade::app
