Give up starts on VMs that drain or are out of service

Two tasks were placed 4 ms before the evacuation of their data centre was read; their orders were withheld, and since the VM went on reporting, nothing ever ended the placement.

Change: a run that a report under the current epoch does not list, on a VM that drains or is out of service, is stopped instead of ordered again; the runner's refusal then frees it to be placed elsewhere.

Test: "a task whose VM leaves before its start moves elsewhere", three cases, all failing before.

--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -161,9 +161,22 @@
   if (!in.complete || in.epoch != options.epoch) {
     return;
   }
+  // What has not started on a VM that takes no starts is given up there.
+  const bool leaves = in.phase == worker_phase::kDraining ||
+                      out_of_service.contains(in.data_centre);
   for (auto& [run, hosted] : vm.runs) {
     if (hosted.durable && !listed.contains(run) &&
         now - hosted.sent_at > options.resend_after) {
+      if (leaves && !hosted.started && !hosted.stopping) {
+        Log("start_given_up", {{"task", ToString(run.task)},
+                               {"run", std::to_string(run.run)},
+                               {"vm", vm.name},
+                               {"reason", in.phase == worker_phase::kDraining
+                                              ? "draining"
+                                              : "data_centre_out_of_service"}});
+        StopRun(vm.name, run, now);
+        continue;
+      }
       // The order was lost, or came from an earlier coordinator. It may be
       // repeated: the worker starts each run once.
       counters.resent += hosted.sent_at == boot_time{} ? 0 : 1;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -416,4 +416,49 @@
   CHECK(world.core->ViewOf(kJob)->phase == job_phase::kCompleted);
 }
 
+// Regression: hunt on tetoszin-prod, scale-1 --seed 245807505480. The order was
+// withheld when the data centre left, and the task stayed tied to its VM for as
+// long as the data centre was away.
+TEST_CASE("a task whose VM leaves before its start moves elsewhere") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  bool was_sent = false;
+  SECTION("the order was withheld") {
+    world.Tick();
+    world.core->SetOutOfService({"dc"});
+    world.Commit();
+    CHECK(world.core->TakeOrders(world.now).size() <= 1);
+  }
+  SECTION("the order was lost") {
+    REQUIRE(world.Starts().size() == 1);
+    world.core->SetOutOfService({"dc"});
+    was_sent = true;
+  }
+  SECTION("the order was lost, and the worker drains") {
+    REQUIRE(world.Starts().size() == 1);
+    auto draining = world.MakeReport("vm");
+    draining.phase = worker_phase::kDraining;
+    world.Report(draining);
+    was_sent = true;
+  }
+  world.now += millis(500);
+  auto idle = world.MakeReport("vm");
+  idle.phase = was_sent ? worker_phase::kDraining : worker_phase::kReady;
+  world.Report(idle);
+  // The runner makes sure that it can not start any more.
+  CHECK(world.Stops() == std::vector<run_key>{Run(0, 0)});
+  auto refused = world.MakeReport("vm");
+  refused.phase = idle.phase;
+  refused.refusals.push_back({Run(0, 0), "stopped"});
+  world.Report(refused);
+  auto other = world.MakeReport("other");
+  other.data_centre = "elsewhere";
+  world.Report(other);
+  const auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run == Run(0, 0, 2));
+  CHECK(world.sent.back().vm == "other");
+}
+
 }  // namespace chiveglade::workflow
