Let late jobs wait for those that can still be in time

Change: within a priority, jobs past their objective come after the others, for 15 s at most; then they have their turn.

Tests: "late jobs let those pass that can still meet their objective", "a job that has been late for long has its turn again".

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -36,6 +36,9 @@
   // A task without progress for this long is stopped and run elsewhere. Above
   // two reports, so that a coarse percentage is not taken for a hang.
   millis hung_after{2'500};
+  // How long a job that has missed its objective lets others pass. Longer than
+  // a burst of a few seconds takes to drain.
+  millis late_turn{15'000};
   // How long the state of an ended job can be asked for.
   millis keep_ended{150'000};
   placement_options placing;
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -1,7 +1,10 @@
 // Which tasks start next, and where.
 //
 // Answers bursts in which more is ready than fits: queues of a lower priority
-// number come first, and within one the job whose objective is nearest.
+// number come first, and within one the job whose objective is nearest. A job
+// that has missed its objective lets those pass that can still meet theirs, or
+// a burst would make each job after it late as well; after a while it has its
+// turn again, so that none waits for ever.
 #include <algorithm>
 #include <cstdlib>
 #include <tuple>
@@ -71,24 +74,32 @@
   placing_due = false;
   placed_at = now;
   placed_unix_ms = now_unix_ms;
+  SortJobs(now);
+  placing_pass pass;
+  pass.now = now;
+  pass.now_unix_ms = now_unix_ms;
+  for (auto* job : order) {
+    PlaceJob(*job, pass);
+  }
+}
+
+void coordinator::state::SortJobs(boot_time now) {
   if (order_stale) {
     order_stale = false;
     order.clear();
     for (const auto& id : active) {
       order.push_back(jobs.at(id).get());
     }
-    std::sort(order.begin(), order.end(),
-              [](const job_state* a, const job_state* b) {
-                return std::tie(a->priority, a->objective, a->id) <
-                       std::tie(b->priority, b->objective, b->id);
-              });
   }
-  placing_pass pass;
-  pass.now = now;
-  pass.now_unix_ms = now_unix_ms;
   for (auto* job : order) {
-    PlaceJob(*job, pass);
+    job->waits_its_turn =
+        now > job->objective && now - job->objective < options.late_turn;
   }
+  std::sort(
+      order.begin(), order.end(), [](const job_state* a, const job_state* b) {
+        return std::tie(a->priority, a->waits_its_turn, a->objective, a->id) <
+               std::tie(b->priority, b->waits_its_turn, b->objective, b->id);
+      });
 }
 
 void coordinator::state::PlaceJob(job_state& job, placing_pass& pass) {
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -92,6 +92,8 @@
   std::string service;
   bool needs_tickets = false;
   boot_time objective{};  // when it should be complete
+  // It has missed its objective and lets others pass, as of the last pass.
+  bool waits_its_turn = false;
   boot_time ended_at{};
   bool dirty = false;
   bool in_batch = false;
@@ -168,6 +170,8 @@
 
   // Placing.
   void Place(boot_time now, int64_t now_unix_ms);
+  // In the order of priority; jobs that can still meet their objective first.
+  void SortJobs(boot_time now);
   void PlaceJob(job_state& job, placing_pass& pass);
   bool StepIsReady(const job_state& job, size_t occurrence, size_t step) const;
   void PlaceStep(job_state& job,
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -461,4 +461,36 @@
   CHECK(world.sent.back().vm == "other");
 }
 
+// Plays a burst: one VM, jobs that each fill it for a second, objectives of two
+// seconds, and two jobs that are late already. Callers whose jobs can still be
+// in time are served first; the late ones get what is left, and their turn
+// once they have waited long.
+TEST_CASE("late jobs let those pass that can still meet their objective") {
+  coordinator_fixture world;
+  const auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  world.AddJob("late", whole_vm);
+  world.now += millis(5'000);  // Past its objective.
+  world.AddJob("early", whole_vm);
+  world.ReportRunning("vm", {});
+  auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run.task.job == "early");
+  world.ReportEnd("vm", 1, starts[0].run, run_result::kDone);
+  starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run.task.job == "late");
+}
+
+TEST_CASE("a job that has been late for long has its turn again") {
+  coordinator_fixture world;
+  const auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  world.AddJob("late", whole_vm);
+  world.now += millis(5'000) + coordinator_options{}.late_turn;
+  world.AddJob("early", whole_vm);
+  world.ReportRunning("vm", {});
+  const auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run.task.job == "late");
+}
+
 }  // namespace chiveglade::workflow
