--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -461,13 +461,12 @@
   CHECK(world.sent.back().vm == "other");
 }
 
-// Plays a burst: one VM, jobs that each fill it for a second, objectives of two
-// seconds, and two jobs that are late already. Callers whose jobs can still be
-// in time are served first; the late ones get what is left, and their turn
-// once they have waited long.
+// Plays the tail of a burst: one VM, jobs that each fill it, and one of them
+// late already. The caller whose job can still be in time is served first.
 TEST_CASE("late jobs let those pass that can still meet their objective") {
   coordinator_fixture world;
-  const auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  whole_vm.accepted_unix_ms = world.unix_ms;
   world.AddJob("late", whole_vm);
   world.now += millis(5'000);  // Past its objective.
   world.AddJob("early", whole_vm);
@@ -483,7 +482,8 @@
 
 TEST_CASE("a job that has been late for long has its turn again") {
   coordinator_fixture world;
-  const auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  whole_vm.accepted_unix_ms = world.unix_ms;
   world.AddJob("late", whole_vm);
   world.now += millis(5'000) + coordinator_options{}.late_turn;
   world.AddJob("early", whole_vm);
