--- a/tests/workflow/fixture.h
+++ b/tests/workflow/fixture.h
@@ -56,6 +56,7 @@
     coordinator_options options;
     options.epoch = epoch;
     options.address = "coordinator";
+    options.log = log;
     core.emplace(std::move(options));
     core->SetCatalogue(MakeCatalogue());
   }
@@ -141,6 +142,10 @@
     core->AddJob(id, in, std::nullopt, now, unix_ms);
   }
 
+  // Takes the lines of coordinators made by Restart; optional.
+  std::function<void(const char* event,
+                     const std::vector<std::pair<std::string, std::string>>&)>
+      log;
   boot_time now{millis(1'000'000)};
   int64_t unix_ms = 1'700'000'000'000;
   uint64_t sequence = 0;
