--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -99,7 +99,7 @@
   if (!made) {
     return made.last_reason();
   }
-  table = link.Observe(*std::move(made));
+  table = link.Observe(*made);
   return done{};
 }
 
--- a/src/app/store_link.cc
+++ b/src/app/store_link.cc
@@ -16,7 +16,7 @@
 store_link::store_link(clock_fn clock, log_fn log)
     : clock_(std::move(clock)), log_(std::move(log)), answered_at_(clock_()) {}
 
-store::table_service store_link::Observe(store::table_service inner) {
+store::table_service store_link::Observe(const store::table_service& inner) {
   // Wraps a callback that gets a result.
   const auto noted = [this](auto then) {
     return [this, then = std::move(then)](auto found) {
--- a/src/app/store_link.h
+++ b/src/app/store_link.h
@@ -22,7 +22,7 @@
 
   // The same hooks, with each call's outcome noted. This object must outlive
   // the calls.
-  store::table_service Observe(store::table_service inner);
+  store::table_service Observe(const store::table_service& inner);
 
   // True once several calls in a row have failed for a while. A refusal, such
   // as by a rate limit, counts as a failure; an answer of any kind ends it.
--- a/src/observe/timeline.cc
+++ b/src/observe/timeline.cc
@@ -177,10 +177,10 @@
   int64_t lost_at = 0;
   std::map<std::string, int64_t> slow_since;
   for (const auto& line : context_) {
-    if (line.event == "coordinator_lost") {
+    // Without a line of loss the holder before has died, at the latest now.
+    if (line.event == "coordinator_lost" ||
+        (line.event == "coordinator_gained" && lost_at == 0)) {
       lost_at = line.unix_ms;
-    } else if (line.event == "coordinator_gained" && lost_at == 0) {
-      lost_at = line.unix_ms;  // The holder before may have just died.
     } else if (line.event == "coordinator_ready") {
       if (lost_at != 0) {
         leaderless_.push_back({lost_at, line.unix_ms});
