Never answer a caller by an older catalogue after a newer one

Passing requests on mixes two processes' catalogues: a caller may be answered by the peer's newer one and then by this gateway's older one, or the other way round.

Change: a request that is passed on names the newest version that has answered callers here; a peer that is behind declines, and the reply tells its version. A gateway that has shown a newer version than its own refuses until it has read it.

Tests: "callers never see an older catalogue after a newer one", "a gateway that is behind serves no peer that is ahead".

--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -36,6 +36,18 @@
 // A count of pending jobs may be this old.
 constexpr millis kPendingAge{1'500};
 constexpr char kRetryAfterSeconds[] = "1";
+// Between gateways: the version of the catalogue that a request must be
+// answered by at least, and the one that it was answered by.
+constexpr char kVersionHeader[] = "chiveglade-catalogue";
+// Answers a peer that asked for a newer version; callers never see it.
+constexpr int kOlderCatalogue = 409;
+
+uint64_t ToVersion(std::string_view text) {
+  uint64_t out = 0;
+  // Without a version any catalogue will do.
+  (void)std::from_chars(text.data(), text.data() + text.size(), out);
+  return out;
+}
 
 net::http_reply Json(int status, std::string body) {
   return {status, {{"content-type", "application/json"}}, std::move(body)};
@@ -98,7 +110,7 @@
   std::string kind = "other";
   auto reply = Access() == store_access::kThroughPeer
                    ? Forward(request, yield)
-                   : Route(request, kind, yield);
+                   : HandleHere(request, kind, yield);
   const char* outcome = reply.status < 300    ? "answered"
                         : reply.status == 410 ? "unknown_job"
                         : reply.status == 504 ? "unknown_outcome"
@@ -111,24 +123,61 @@
   return reply;
 }
 
+net::http_reply job_front::HandleHere(const net::http_request& request,
+                                      std::string& kind,
+                                      const net::yield& yield) {
+  const auto version = CatalogueVersion();
+  if (version < seen_version_) {
+    return Refuse(503, "catalogue_behind",
+                  "the configuration in force has not been read yet");
+  }
+  seen_version_ = version;
+  return Route(request, kind, yield);
+}
+
+uint64_t job_front::CatalogueVersion() const {
+  const auto* catalogue = hooks_.catalogue();
+  return catalogue ? catalogue->version : 0;
+}
+
 net::http_reply job_front::HandleForPeer(const net::http_request& request,
                                          const net::yield& yield) {
+  const auto version = CatalogueVersion();
+  const auto wanted = net::FindHeader(request.headers, kVersionHeader);
+  if (version < ToVersion(wanted)) {
+    return {kOlderCatalogue, {}, ""};
+  }
   std::string kind;
-  return Route(request, kind, yield);
+  auto reply = Route(request, kind, yield);
+  reply.headers.emplace_back(kVersionHeader, std::to_string(version));
+  return reply;
 }
 
 net::http_reply job_front::Forward(const net::http_request& request,
                                    const net::yield& yield) {
   const auto timeout =
       std::min(DeadlineOf(request) - kAnswerMargin, kMaxForwardTime);
-  auto reply = hooks_.forward(request, timeout, yield);
+  seen_version_ = std::max(seen_version_, CatalogueVersion());
+  auto passed_on = request;
+  passed_on.headers.emplace_back(kVersionHeader, std::to_string(seen_version_));
+  auto reply = hooks_.forward(passed_on, timeout, yield);
   const std::string path(net::PathOf(request.target));
   hooks_.log("request_forwarded",
              {{"method", request.method},
               {"path", path},
               {"outcome", reply ? std::to_string(reply->status)
                                 : reply.last_reason().code}});
+  if (reply && reply->status == kOlderCatalogue) {
+    return Refuse(503, "catalogue_behind",
+                  "the configuration in force has not reached the peer");
+  }
   if (reply) {
+    seen_version_ =
+        std::max(seen_version_,
+                 ToVersion(net::FindHeader(reply->headers, kVersionHeader)));
+    std::erase_if(reply->headers, [](const auto& header) {
+      return header.first == kVersionHeader;
+    });
     return *std::move(reply);
   }
   if (request.method == "GET") {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -68,6 +68,9 @@
   }
   net::http_reply Forward(const net::http_request& request,
                           const net::yield& yield);
+  net::http_reply HandleHere(const net::http_request& request,
+                             std::string& kind,
+                             const net::yield& yield);
   net::http_reply Route(const net::http_request& request,
                         std::string& kind,
                         const net::yield& yield);
@@ -93,11 +96,16 @@
   void Wait(millis time, const net::yield& yield);
   void Remember(const std::string& id, workflow::job_phase phase);
 
+  uint64_t CatalogueVersion() const;
+
   strand on_;
   peer_pool& peers_;
   observe::metrics& metrics_;
   coordinator_host& host_;
   hooks hooks_;
+  // The newest version of the catalogue that a caller here was answered by,
+  // perhaps a peer's. Callers never see an older one again.
+  uint64_t seen_version_ = 0;
   // Phases that never change again, so that they need not be asked for.
   std::map<std::string, workflow::job_phase> final_;
   std::deque<std::string> final_order_;
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -49,12 +49,16 @@
                          },
                          [](const char*, const observe::log_fields&) {},
                          [this] { return access; },
-                         [this](const net::http_request&, millis,
+                         [this](const net::http_request& request, millis,
                                 const net::yield&) -> result<net::http_reply> {
                            if (!peer_answers) {
                              return reason{"answer_timeout", "no progress"};
                            }
-                           return net::http_reply{200, {}, "from the peer"};
+                           passed_on = request;
+                           return net::http_reply{
+                               peer_status,
+                               {{"chiveglade-catalogue", peer_version}},
+                               "from the peer"};
                          }});
   }
 
@@ -98,6 +102,9 @@
   bool has_catalogue = true;
   store_access access = store_access::kDirect;
   bool peer_answers = true;
+  int peer_status = 200;
+  std::string peer_version = "0";
+  net::http_request passed_on;
   std::unique_ptr<coordinator_host> host;
   std::unique_ptr<job_front> front;
 };
@@ -224,4 +231,58 @@
   CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
 }
 
+// Regression: hunt on mttla-ladder, mix --seed 32230163300. A gateway answered
+// by a peer's newer configuration and then by its own older one.
+TEST_CASE("callers never see an older catalogue after a newer one") {
+  front_world world;
+  world.catalogue.version = 7;
+  world.access = store_access::kThroughPeer;
+  SECTION("the peer was ahead") {
+    world.peer_version = "9";
+    const auto reply = world.Submit();
+    CHECK(reply.status == 200);
+    CHECK(net::FindHeader(reply.headers, "chiveglade-catalogue").empty());
+    world.access = store_access::kDirect;
+    CHECK(world.Submit().status == 503);
+    world.catalogue.version = 9;
+    CHECK(world.Submit().status == 200);
+  }
+  SECTION("the peer is behind") {
+    world.peer_status = 409;
+    const auto reply = world.Submit();
+    CHECK(reply.status == 503);
+    CHECK_FALSE(net::FindHeader(reply.headers, "retry-after").empty());
+    CHECK(net::FindHeader(world.passed_on.headers, "chiveglade-catalogue") ==
+          "7");
+  }
+}
+
+TEST_CASE("a gateway that is behind serves no peer that is ahead") {
+  front_world world;
+  world.catalogue.version = 7;
+  const auto ask = [&](const std::string& version) {
+    net::http_reply out;
+    net::asio::spawn(
+        world.control,
+        [&](const net::yield& yield) {
+          net::http_request request;
+          request.method = "POST";
+          request.target = std::string("/jobs/") + kId;
+          request.headers = {{"host", "host:80"},
+                             {"chiveglade-catalogue", version}};
+          request.body = kBody;
+          out = world.front->HandleForPeer(request, yield);
+        },
+        net::asio::detached);
+    world.loop.restart();
+    world.loop.run();
+    return out;
+  };
+  CHECK(ask("8").status == 409);
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+  const auto reply = ask("7");
+  CHECK(reply.status == 200);
+  CHECK(net::FindHeader(reply.headers, "chiveglade-catalogue") == "7");
+}
+
 }  // namespace chiveglade::app
