Keep one copy of the wall clock and of the store's options

entry_role.cc had both already; gateway, runner, member rows and the event log wrote them again. UnixMillis now stands in core/wall_clock.h, StoreOptions in app/store_options.h, and all roles call them.

--- a/src/app/entry_role.cc
+++ b/src/app/entry_role.cc
@@ -1,10 +1,10 @@
 #include "entry_role.h"
 
-#include <ctime>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 
+#include "chiveglade/core/wall_clock.h"
 #include "chiveglade/net/h2_server.h"
 #include "chiveglade/net/http_server.h"
 #include "chiveglade/observe/log.h"
@@ -17,6 +17,7 @@
 #include "lifecycle.h"
 #include "operator_api.h"
 #include "peer_pool.h"
+#include "store_options.h"
 
 namespace chiveglade::app {
 
@@ -28,23 +29,6 @@
 // a second that the share of the store's writes allows for.
 constexpr size_t kClaimsSwept = 40;
 
-int64_t UnixMillis() {
-  timespec now{};
-  clock_gettime(CLOCK_REALTIME, &now);
-  return int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000;
-}
-
-store::http_store_options StoreOptions(
-    const std::vector<config::endpoint>& endpoints,
-    millis timeout) {
-  store::http_store_options options;
-  for (const auto& at : endpoints) {
-    options.endpoints.push_back({at.ip, at.port});
-  }
-  options.call_timeout = timeout;
-  return options;
-}
-
 }  // namespace
 
 // Members are destroyed in reverse order, the event loop last.
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -2,12 +2,12 @@
 
 #include <unistd.h>
 
-#include <ctime>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include "chiveglade/core/wall_clock.h"
 #include "chiveglade/net/h2_server.h"
 #include "chiveglade/net/http_server.h"
 #include "coordinator_host.h"
@@ -23,6 +23,7 @@
 #include "platform/table_client.h"
 #include "request_relay.h"
 #include "store_link.h"
+#include "store_options.h"
 
 namespace chiveglade::app {
 
@@ -90,12 +91,8 @@
 };
 
 result<done> gateway_role::parts::MakeStore() {
-  store::http_store_options options;
-  for (const auto& at : settings.store) {
-    options.endpoints.push_back({at.ip, at.port});
-  }
-  options.call_timeout = settings.store_timeout;
-  auto made = platform::MakeTableClient(loop, control, options);
+  auto made = platform::MakeTableClient(
+      loop, control, StoreOptions(settings.store, settings.store_timeout));
   if (!made) {
     return made.last_reason();
   }
--- a/src/app/member_row.cc
+++ b/src/app/member_row.cc
@@ -1,6 +1,5 @@
 #include "member_row.h"
 
-#include <ctime>
 #include <memory>
 #include <utility>
 
@@ -15,12 +14,6 @@
 
 }  // namespace
 
-int64_t UnixMillis() {
-  timespec now{};
-  clock_gettime(CLOCK_REALTIME, &now);
-  return int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000;
-}
-
 member_row::member_row(strand on,
                        store::table_service table,
                        std::string key,
--- a/src/app/member_row.h
+++ b/src/app/member_row.h
@@ -10,9 +10,6 @@
 
 namespace chiveglade::app {
 
-// Milliseconds since 1970.
-int64_t UnixMillis();
-
 // Writes the address of a process under a key, and tries until it is written.
 class member_row {
  public:
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -25,6 +25,7 @@
 #include "peer_call.h"
 #include "platform/table_client.h"
 #include "platform/worker_client.h"
+#include "store_options.h"
 
 namespace chiveglade::app {
 
@@ -96,12 +97,8 @@
 };
 
 result<done> runner_role::parts::MakeParts() {
-  store::http_store_options store_options;
-  for (const auto& at : settings.store) {
-    store_options.endpoints.push_back({at.ip, at.port});
-  }
-  store_options.call_timeout = settings.store_timeout;
-  auto made = platform::MakeTableClient(loop, control, store_options);
+  auto made = platform::MakeTableClient(
+      loop, control, StoreOptions(settings.store, settings.store_timeout));
   if (!made) {
     return made.last_reason();
   }
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -5,20 +5,11 @@
 
 #include <algorithm>
 #include <climits>
-#include <ctime>
 #include <string_view>
 
-namespace chiveglade::observe {
-
-namespace {
+#include "chiveglade/core/wall_clock.h"
 
-int64_t UnixMillis() {
-  timespec now{};
-  clock_gettime(CLOCK_REALTIME, &now);
-  return int64_t{now.tv_sec} * 1000 + now.tv_nsec / 1'000'000;
-}
-
-}  // namespace
+namespace chiveglade::observe {
 
 event_log::event_log(int write_fd, limits bounds, clock_fn clock)
     : fd_(write_fd), limits_(bounds), clock_(std::move(clock)) {}
