--- a/src/app/request_relay.cc
+++ b/src/app/request_relay.cc
@@ -42,6 +42,10 @@
 
 void request_relay::Start() {
   RunEvery(on_, kProbeInterval, [this] {
+    if (!hooks_.store_away()) {
+      EndOutage();
+      return;
+    }
     net::asio::spawn(
         on_, [this](const net::yield& yield) { Probe(yield); },
         net::asio::detached);
@@ -50,8 +54,7 @@
 
 void request_relay::Probe(const net::yield& yield) {
   if (!hooks_.store_away()) {
-    SetAccess(store_access::kAwayForAll);  // Until asked in the next outage.
-    unanswered_ = 0;
+    EndOutage();
     return;
   }
   const auto peer = hooks_.coordinator();
@@ -74,6 +77,11 @@
                                  : store_access::kAwayForAll);
 }
 
+void request_relay::EndOutage() {
+  away_access_ = store_access::kAwayForAll;
+  unanswered_ = 0;
+}
+
 void request_relay::SetAccess(store_access next) {
   if (next != away_access_ && hooks_.store_away()) {
     hooks_.log("store_access_changed", {{"access", ToString(next)},
--- a/src/app/request_relay.h
+++ b/src/app/request_relay.h
@@ -64,6 +64,8 @@
 
  private:
   void SetAccess(store_access next);
+  // Forgets what was found out: the next outage is judged anew.
+  void EndOutage();
 
   strand on_;
   hooks hooks_;
--- a/src/observe/timeline.cc
+++ b/src/observe/timeline.cc
@@ -351,21 +351,14 @@
     out.detail = "it met its objective";
     return;
   }
-  const auto costs_more = [](const time_share& a, const time_share& b) {
-    return a.time < b.time;
-  };
-  std::vector<time_share> avoidable;
-  for (const auto& share : out.shares) {
-    if (share.cause != "work") {
-      avoidable.push_back(share);
-    }
-  }
+  // The shares stand in falling order.
   const auto worst =
-      std::max_element(avoidable.begin(), avoidable.end(), costs_more);
+      std::find_if(out.shares.begin(), out.shares.end(),
+                   [](const auto& share) { return share.cause != "work"; });
   // What is smaller than the delay did not cause it alone, but without any
   // delay of weight the work itself was longer than the estimates said.
   constexpr int kSmallPart = 4;
-  if (worst == avoidable.end() || worst->time < out.late / kSmallPart) {
+  if (worst == out.shares.end() || worst->time < out.late / kSmallPart) {
     out.cause = "long_work";
     out.detail = "its runs took longer than the estimates said";
     return;
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -139,11 +139,7 @@
       IsKnownToHaveNoRoom(pass, job.service, spec)) {
     return;
   }
-  const auto [found, added] = pass.vms.try_emplace(job.service);
-  const auto& candidates = found->second;
-  if (added) {
-    found->second = Candidates(job.service, pass.now);
-  }
+  const auto& candidates = CandidatesIn(pass, job.service);
   UpdateLoads(candidates, job, occurrence, step, pass.now);
   std::vector<std::optional<double>> scores;
   scores.reserve(candidates.size());
@@ -211,6 +207,16 @@
   }
 }
 
+const std::vector<vm_state*>& coordinator::state::CandidatesIn(
+    placing_pass& pass,
+    const std::string& service) {
+  const auto [found, added] = pass.vms.try_emplace(service);
+  if (added) {
+    found->second = Candidates(service, pass.now);
+  }
+  return found->second;
+}
+
 std::vector<vm_state*> coordinator::state::Candidates(
     const std::string& service,
     boot_time now) {
@@ -314,7 +320,7 @@
     run = std::max(run, task.last_run);
   }
   const auto& spec = job.in.job.steps[step];
-  const auto candidates = Candidates(job.service, pass.now);
+  const auto& candidates = CandidatesIn(pass, job.service);
   std::vector<vm_load> loads;
   std::set<std::string> racks{""};
   for (const auto* vm : candidates) {
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -194,6 +194,10 @@
                  uint32_t occurrence,
                  uint32_t step,
                  placing_pass& pass);
+  // The same, looked up once in a pass.
+  const std::vector<vm_state*>& CandidatesIn(placing_pass& pass,
+                                             const std::string& service);
+  // VMs of a service that take work.
   std::vector<vm_state*> Candidates(const std::string& service, boot_time now);
   // Images of the serving tasks on a VM.
   std::vector<std::string> ServingOn(const vm_state& vm) const;
--- a/tests/workflow/fake_worker.cc
+++ b/tests/workflow/fake_worker.cc
@@ -70,17 +70,25 @@
   return out;
 }
 
-call_status fake_worker::Start(const start_call& call) {
+call_status fake_worker::Admit(const std::string& instance, uint64_t token) {
   if (!up_) {
     return call_status::kNotListening;
   }
-  if (!Expects(call.instance)) {
+  if (!Expects(instance)) {
     return call_status::kWrongInstance;
   }
-  if (call.token < token_) {
+  if (token < token_) {
     return call_status::kFenced;
   }
-  token_ = call.token;
+  token_ = token;
+  return call_status::kOk;
+}
+
+call_status fake_worker::Start(const start_call& call) {
+  if (const auto admitted = Admit(call.instance, call.token);
+      admitted != call_status::kOk) {
+    return admitted;
+  }
   if (runs_.contains(call.run)) {
     return call_status::kOk;
   }
@@ -98,16 +106,10 @@
 }
 
 call_status fake_worker::Stop(const stop_call& call) {
-  if (!up_) {
-    return call_status::kNotListening;
-  }
-  if (!Expects(call.instance)) {
-    return call_status::kWrongInstance;
+  if (const auto admitted = Admit(call.instance, call.token);
+      admitted != call_status::kOk) {
+    return admitted;
   }
-  if (call.token < token_) {
-    return call_status::kFenced;
-  }
-  token_ = call.token;
   if (runs_.contains(call.run)) {
     End(call.run, run_result::kStopped);
   } else {
--- a/tests/workflow/fake_worker.h
+++ b/tests/workflow/fake_worker.h
@@ -44,6 +44,9 @@
   lease_reply Lease(const lease_call& call);
 
  private:
+  // What comes before every order; kOk if it may be carried out.
+  call_status Admit(const std::string& instance, uint64_t token);
+
   struct run_state {
     millis worked{0};
   };
