Count a failure as an attempt also if the run was being stopped

Cause: EndRun counted a failed end only if no stop of the run had been decided. A throttled or hung run that fails between the decision and the stop order, or before the order takes effect, failed without being counted. The class: an end is classified by what the coordinator wanted, not by what the worker lists.

Change: every failed end counts, and speaks against its VM. For finished tasks and jobs nothing changes, since OnTaskFailed ignores them.

Same cause elsewhere: done ends were always applied; refusals and lapses are not decided by what was asked; the timeline of explain goes by the outcome alone.

Test: "a run that fails while it is being stopped counts as an attempt" failed before (a third run was started, the job was running).

--- a/src/workflow/coordinator_runs.cc
+++ b/src/workflow/coordinator_runs.cc
@@ -105,11 +105,10 @@
       }
       break;
     case run_result::kFailed:
+      // Also while the run is being stopped: the order may have been too late.
       ++counters.failed;
-      if (!was_stopping) {
-        vm.health.OnFailed(run.task.job, now);
-        OnTaskFailed(*job, *task, run, now);
-      }
+      vm.health.OnFailed(run.task.job, now);
+      OnTaskFailed(*job, *task, run, now);
       break;
     case run_result::kRefused:
       ++counters.refused;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -153,6 +153,26 @@
   CHECK(world.core->FindJobView(kJob)->phase == job_phase::kFailed);
 }
 
+TEST_CASE("a run that fails while it is being stopped counts as an attempt") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  world.ReportEnd("vm", 1, Run(0, 0, 1), run_result::kFailed);
+  REQUIRE(world.Starts().size() == 1);
+  const millis step(500);
+  for (millis waited{0}; waited <= coordinator_options{}.progress_timeout;
+       waited += step) {
+    world.ReportRunning("vm", {Run(0, 0, 2)}, 10);
+    world.now += step;
+  }
+  world.ReportRunning("vm", {Run(0, 0, 2)}, 10);
+  REQUIRE(world.Stops() == std::vector<run_key>{Run(0, 0, 2)});
+  world.ReportEnd("vm", 2, Run(0, 0, 2), run_result::kFailed);
+  CHECK(world.Starts().empty());
+  CHECK(world.core->FindJobView(kJob)->phase == job_phase::kFailed);
+}
+
 TEST_CASE("runs that end for other reasons do not count as attempts") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
