Measure how late the event loop of a gateway or runner is

Change: a timer of 100 ms records its lag in chiveglade_event_loop_lag_seconds; the line event_loop_late, at most one a second, gives the worst lag from 100 ms on. No decision depends on it.

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -15,6 +15,7 @@
 #include "heartbeat_service.h"
 #include "job_front.h"
 #include "lifecycle.h"
+#include "loop_monitor.h"
 #include "manifest_fetch.h"
 #include "member_row.h"
 #include "metrics_page.h"
@@ -60,6 +61,7 @@
   std::unique_ptr<job_front> front;
   std::unique_ptr<store::table_follower> operators;
   std::unique_ptr<member_row> member;
+  std::unique_ptr<loop_monitor> monitor;
   std::shared_ptr<net::http_server> callers;
   std::shared_ptr<net::http_server> balancer;
   std::shared_ptr<net::h2_server> runners;
@@ -146,6 +148,8 @@
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
+  monitor =
+      std::make_unique<loop_monitor>(control, metrics, &boot_clock::now, log);
   return done{};
 }
 
@@ -327,6 +331,7 @@
   host->Start();
   relay->Start();
   member->Start();
+  monitor->Start();
   net::asio::post(control, [this] { FollowOperators(); });
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
   RunEvery(control, kGaugeInterval, [this] {
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -19,6 +19,7 @@
 #include "entropy.h"
 #include "heartbeat_service.h"
 #include "lifecycle.h"
+#include "loop_monitor.h"
 #include "manifest_fetch.h"
 #include "member_row.h"
 #include "metrics_page.h"
@@ -63,6 +64,7 @@
   platform::worker_client worker;
   std::unique_ptr<workflow::supervisor> core;
   std::unique_ptr<member_row> member;
+  std::unique_ptr<loop_monitor> monitor;
   std::shared_ptr<net::http_server> heartbeats;
   std::shared_ptr<net::h2_server> coordinator;
   std::shared_ptr<net::http_server> metrics_page;
@@ -108,13 +110,17 @@
   options.address = ToString(settings.peer_listen);
   options.runner_incarnation = MakeNonce(MakeSystemRandom());
   options.worker_lease = settings.worker_lease;
-  options.log = [this](const char* event, const observe::log_fields& fields) {
+  const auto log = [this](const char* event,
+                          const observe::log_fields& fields) {
     Log(event, fields);
   };
+  options.log = log;
   core = std::make_unique<workflow::supervisor>(std::move(options));
   member =
       std::make_unique<member_row>(control, table, kMemberPrefix + settings.vm,
                                    ToString(settings.peer_listen));
+  monitor =
+      std::make_unique<loop_monitor>(control, metrics, &boot_clock::now, log);
   return done{};
 }
 
@@ -352,6 +358,7 @@
 
 void runner_role::parts::StartTimers() {
   member->Start();
+  monitor->Start();
   net::asio::spawn(
       control, [this](const net::yield& yield) { LeaseLoop(yield); },
       net::asio::detached);
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -149,6 +149,11 @@
        {},
        "Share at which fillers work on this VM. Below 100: they disturb a "
        "serving task."},
+      {"chiveglade_event_loop_lag_seconds",
+       kind::kHistogram,
+       {},
+       "How late the event loop runs what is due. Alert if a tenth is above "
+       "0.25 s: the process needs more processor time than its VM has."},
       {"chiveglade_log_lines_dropped",
        kind::kGauge,
        {},
