Follow the operators' rows on a thread of their own

Cause: the watch of the operators' rows waited in the event loop of the gateway behind reports, placement and requests. A change passes that loop eight to ten times (connection, parts of the reply, callbacks, the next watch), a request three times, so on an overloaded coordinator requests overtake the change by seconds. The class: a control-plane deadline that shares an unbounded queue with the data plane.

Change: operator_feed follows the rows with an event loop, a thread and store connections of its own, decodes there, and publishes an immutable state that requests and placement take when they need it. catalogue_adopted and store_lost lines say how long they waited for the main loop. Same cause elsewhere: data centres out of service came the same way and are in the feed too.

Tests: operator_feed_test. The seam is new, so the test cannot run on the old code; without the thread its first check fails.

--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -57,19 +57,16 @@
   });
 }
 
-void coordinator_host::SetCatalogue(const workflow::catalogue& in) {
-  catalogue_ = in;
-  if (coordinator_) {
-    coordinator_->SetCatalogue(in);
+void coordinator_host::AdoptOperatorState() {
+  auto newest = hooks_.operators();
+  if (newest == adopted_) {
+    return;
   }
-}
-
-void coordinator_host::SetOutOfService(
-    const std::set<std::string>& data_centres) {
-  out_of_service_ = data_centres;
-  if (coordinator_) {
-    coordinator_->SetOutOfService(data_centres);
+  adopted_ = std::move(newest);
+  if (adopted_->catalogue) {
+    coordinator_->SetCatalogue(*adopted_->catalogue);
   }
+  coordinator_->SetOutOfService(adopted_->out_of_service);
 }
 
 void coordinator_host::OnLeader(const workflow::leader_row& row) {
@@ -106,10 +103,8 @@
   options.address = options_.address;
   options.log = hooks_.log;
   coordinator_ = std::make_unique<workflow::coordinator>(std::move(options));
-  if (catalogue_) {
-    coordinator_->SetCatalogue(*catalogue_);
-  }
-  coordinator_->SetOutOfService(out_of_service_);
+  adopted_.reset();
+  AdoptOperatorState();
   recovered_ = false;
   progress_.clear();
   ReadProgress("");
@@ -199,6 +194,8 @@
 }
 
 void coordinator_host::AddRow(const store::row& in) {
+  // A job may be of a queue that has just been configured.
+  AdoptOperatorState();
   const std::string_view prefix(kJobPrefix);
   std::string id = in.key.substr(prefix.size());
   const auto now = hooks_.clock();
@@ -280,7 +277,11 @@
 }
 
 void coordinator_host::Pump() {
-  if (!ready() || !catalogue_) {
+  if (!ready()) {
+    return;
+  }
+  AdoptOperatorState();
+  if (!adopted_->catalogue) {
     return;
   }
   const auto now = hooks_.clock();
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -19,6 +19,7 @@
 #include "chiveglade/store/table_follower.h"
 #include "chiveglade/workflow/coordinator.h"
 #include "chiveglade/workflow/fenced_writer.h"
+#include "operator_feed.h"
 #include "peer_pool.h"
 
 namespace chiveglade::app {
@@ -48,6 +49,8 @@
     std::function<int64_t()> unix_ms;
     random_fn random;
     std::function<void(const char*, const observe::log_fields&)> log;
+    // The operators' newest settings; never null. Asked before each decision.
+    std::function<std::shared_ptr<const operator_state>()> operators;
   };
 
   coordinator_host(strand on,
@@ -57,8 +60,8 @@
                    hooks hooks);
 
   void Start();
-  void SetCatalogue(const workflow::catalogue& in);
-  void SetOutOfService(const std::set<std::string>& data_centres);
+  // The operators' settings have changed; decides by them at once.
+  void OnOperatorChange() { Pump(); }
   // Gives the role up.
   void Release(const std::function<void()>& then);
 
@@ -79,6 +82,7 @@
   void UpdateGauges();
 
  private:
+  void AdoptOperatorState();
   void OnGained(uint64_t epoch);
   void OnLost(const char* why);
   void ReadProgress(const std::string& after);
@@ -103,8 +107,8 @@
   std::unique_ptr<store::table_follower> jobs_;
   std::map<std::string, workflow::job_record> progress_;  // while recovering
   bool recovered_ = false;
-  std::optional<workflow::catalogue> catalogue_;
-  std::set<std::string> out_of_service_;
+  // What `coordinator_` was given last; null: nothing yet.
+  std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
   boot_time next_commit_{};
   boot_time reported_at_{};
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -19,8 +19,8 @@
 #include "manifest_fetch.h"
 #include "member_row.h"
 #include "metrics_page.h"
+#include "operator_feed.h"
 #include "peer_call.h"
-#include "platform/operator_rows.h"
 #include "platform/table_client.h"
 #include "request_relay.h"
 #include "store_link.h"
@@ -34,9 +34,6 @@
 constexpr uint32_t kThreads = 1;
 constexpr millis kFlushInterval{100};
 constexpr millis kGaugeInterval{1'000};
-// The operators' rows are watched with calls this long, so that a connection
-// that went silent is noticed before a change is overdue.
-constexpr millis kOperatorWait{1'200};
 // A coordinator that no runner has reported to for this long is cut off: each
 // reports twice a second.
 constexpr millis kOthersSilent{1'500};
@@ -59,33 +56,30 @@
   std::unique_ptr<coordinator_host> host;
   std::unique_ptr<request_relay> relay;
   std::unique_ptr<job_front> front;
-  std::unique_ptr<store::table_follower> operators;
   std::unique_ptr<member_row> member;
   std::unique_ptr<loop_monitor> monitor;
   std::shared_ptr<net::http_server> callers;
   std::shared_ptr<net::http_server> balancer;
   std::shared_ptr<net::h2_server> runners;
   std::shared_ptr<net::http_server> metrics_page;
-  std::optional<workflow::catalogue> catalogue;
-  std::set<std::string> out_of_service;
   bool stopping = false;
+  // Its thread refers to the parts above.
+  std::unique_ptr<operator_feed> operators;
 
   void Log(const char* event, const observe::log_fields& fields) {
     events.Write(event, fields);
   }
   result<done> MakeStore();
+  result<done> MakeOperatorFeed();
   result<done> MakeParts();
   result<done> Listen();
-  void FollowOperators();
-  void OnOperatorRows(const std::vector<store::row>& rows);
-  void OnOperatorChange(const store::row_change& change);
-  void AdoptCatalogue(const store::row& row);
   void HandlePeer(const net::h2_stream_ptr& stream, const net::yield& yield);
   net::http_reply AnswerPeer(const std::string& path, const std::string& body);
   bool IsReady() const {
     // An isolated gateway sends callers to others, unlike one that shares an
     // outage with them.
-    return catalogue && !stopping && relay->access() != store_access::kIsolated;
+    return operators->newest()->catalogue && !stopping &&
+           relay->access() != store_access::kIsolated;
   }
   std::string Status() const;
   void StartTimers();
@@ -102,6 +96,34 @@
   return done{};
 }
 
+result<done> gateway_role::parts::MakeOperatorFeed() {
+  operator_feed::hooks to;
+  to.make_table = [this](net::asio::io_context& own_loop, const strand& on) {
+    return platform::MakeTableClient(
+        own_loop, on, StoreOptions(settings.store, settings.store_timeout));
+  };
+  to.log = [this](std::string event, observe::log_fields fields) {
+    net::asio::post(
+        control, [this, event = std::move(event), fields = std::move(fields),
+                  at = boot_clock::now()]() mutable {
+          fields.emplace_back("waited_ms",
+                              std::to_string(std::chrono::duration_cast<millis>(
+                                                 boot_clock::now() - at)
+                                                 .count()));
+          Log(event.c_str(), fields);
+        });
+  };
+  to.changed = [this] {
+    net::asio::post(control, [this] { host->OnOperatorChange(); });
+  };
+  auto made = operator_feed::Make(std::move(to));
+  if (!made) {
+    return made.last_reason();
+  }
+  operators = *std::move(made);
+  return done{};
+}
+
 result<done> gateway_role::parts::MakeParts() {
   const auto log = [this](const char* event,
                           const observe::log_fields& fields) {
@@ -116,7 +138,8 @@
   host = std::make_unique<coordinator_host>(
       control, peers, metrics, std::move(options),
       coordinator_host::hooks{table, &boot_clock::now, &UnixMillis,
-                              MakeSystemRandom(), log});
+                              MakeSystemRandom(), log,
+                              [this] { return operators->newest(); }});
   relay = std::make_unique<request_relay>(
       control,
       request_relay::hooks{
@@ -137,10 +160,8 @@
   front = std::make_unique<job_front>(
       control, peers, metrics, *host,
       job_front::hooks{table, &boot_clock::now, &UnixMillis,
-                       [this]() -> const workflow::catalogue* {
-                         return catalogue ? &*catalogue : nullptr;
-                       },
-                       log, [this] { return relay->access(); },
+                       [this] { return operators->newest()->catalogue; }, log,
+                       [this] { return relay->access(); },
                        [this](const net::http_request& request, millis timeout,
                               const net::yield& yield) {
                          return relay->Forward(request, timeout, yield);
@@ -193,79 +214,6 @@
   return done{};
 }
 
-void gateway_role::parts::FollowOperators() {
-  store::follower_options options;
-  options.prefix = platform::kOperatorPrefix;
-  options.wait = kOperatorWait;
-  store::table_follower::hooks to;
-  to.table = table;
-  to.after = [this](millis wait, const std::function<void()>& then) {
-    auto timer = std::make_shared<net::asio::steady_timer>(control, wait);
-    timer->async_wait(
-        [timer, then](const boost::system::error_code&) { then(); });
-  };
-  to.scanned = [this](const std::vector<store::row>& rows) {
-    OnOperatorRows(rows);
-  };
-  to.changed = [this](const std::vector<store::row_change>& changes) {
-    for (const auto& change : changes) {
-      OnOperatorChange(change);
-    }
-  };
-  to.lost = [this](const reason& why) {
-    Log("store_lost", {{"reason", why.code}, {"detail", why.detail}});
-  };
-  to.regained = [this] { Log("store_regained", {}); };
-  operators = store::table_follower::Make(options, std::move(to));
-}
-
-void gateway_role::parts::OnOperatorRows(const std::vector<store::row>& rows) {
-  std::set<std::string> out;
-  for (const auto& row : rows) {
-    if (const auto name = platform::EvacuatedDataCentre(row.key)) {
-      out.insert(*name);
-    }
-    AdoptCatalogue(row);
-  }
-  out_of_service = std::move(out);
-  host->SetOutOfService(out_of_service);
-}
-
-void gateway_role::parts::OnOperatorChange(const store::row_change& change) {
-  if (const auto name = platform::EvacuatedDataCentre(change.now.key)) {
-    if (change.removed) {
-      out_of_service.erase(*name);
-    } else {
-      out_of_service.insert(*name);
-    }
-    Log("data_centre_changed",
-        {{"data_centre", *name},
-         {"in_service", change.removed ? "yes" : "no"},
-         {"version", std::to_string(change.now.version)}});
-    host->SetOutOfService(out_of_service);
-  } else if (!change.removed) {
-    AdoptCatalogue(change.now);
-  }
-}
-
-void gateway_role::parts::AdoptCatalogue(const store::row& row) {
-  if (row.key != platform::kCatalogueKey) {
-    return;
-  }
-  auto in = platform::DecodeCatalogue(row.value);
-  if (!in) {
-    Log("catalogue_unreadable", {{"reason", in.last_reason().detail}});
-    return;
-  }
-  if (catalogue && in->version <= catalogue->version) {
-    return;  // Never back to an older one.
-  }
-  Log("catalogue_adopted", {{"version", std::to_string(in->version)},
-                            {"queues", std::to_string(in->queues.size())}});
-  catalogue = *std::move(in);
-  host->SetCatalogue(*catalogue);
-}
-
 void gateway_role::parts::HandlePeer(const net::h2_stream_ptr& stream,
                                      const net::yield& yield) {
   const std::string path(net::FindHeader(stream->request_headers(), ":path"));
@@ -317,13 +265,15 @@
 }
 
 std::string gateway_role::parts::Status() const {
+  const auto from_operators = operators->newest();
+  const auto& catalogue = from_operators->catalogue;
   return nlohmann::json{
       {"name", settings.name},
       {"ready", IsReady()},
       {"coordinator", host->leader().holder},
       {"epoch", host->leader().epoch},
       {"catalogue_version", catalogue ? catalogue->version : 0},
-      {"out_of_service", out_of_service}}
+      {"out_of_service", from_operators->out_of_service}}
       .dump();
 }
 
@@ -332,7 +282,7 @@
   relay->Start();
   member->Start();
   monitor->Start();
-  net::asio::post(control, [this] { FollowOperators(); });
+  operators->Start();
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
   RunEvery(control, kGaugeInterval, [this] {
     host->UpdateGauges();
@@ -373,8 +323,8 @@
     const config::gateway_settings& settings) {
   auto made = std::make_unique<parts>();
   made->settings = settings;
-  for (const auto step :
-       {&parts::MakeStore, &parts::MakeParts, &parts::Listen}) {
+  for (const auto step : {&parts::MakeStore, &parts::MakeOperatorFeed,
+                          &parts::MakeParts, &parts::Listen}) {
     if (const auto outcome = (made.get()->*step)(); !outcome) {
       return outcome.last_reason();
     }
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -136,7 +136,7 @@
 }
 
 uint64_t job_front::CatalogueVersion() const {
-  const auto* catalogue = hooks_.catalogue();
+  const auto catalogue = hooks_.catalogue();
   return catalogue ? catalogue->version : 0;
 }
 
@@ -191,7 +191,7 @@
 net::http_reply job_front::Route(const net::http_request& request,
                                  std::string& kind,
                                  const net::yield& yield) {
-  const auto* catalogue = hooks_.catalogue();
+  const auto catalogue = hooks_.catalogue();
   if (!catalogue) {
     return Refuse(503, "no_catalogue", "no configuration has been read yet");
   }
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -26,7 +26,8 @@
     store::table_service table;
     clock_fn clock;
     std::function<int64_t()> unix_ms;
-    std::function<const workflow::catalogue*()> catalogue;  // null: none yet
+    // The newest one; null: none yet.
+    std::function<std::shared_ptr<const workflow::catalogue>()> catalogue;
     std::function<void(const char*, const observe::log_fields&)> log;
     // How callers can be served, and a peer's reply to a request. Optional; the
     // store is then taken to be in reach.
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -40,26 +40,30 @@
         control, peers, metrics, coordinator_host_options{},
         coordinator_host::hooks{
             table, [this] { return now; }, [] { return 5; }, [] { return 7; },
-            [](const char*, const observe::log_fields&) {}});
+            [](const char*, const observe::log_fields&) {},
+            [] { return std::make_shared<const operator_state>(); }});
     front = std::make_unique<job_front>(
         control, peers, metrics, *host,
-        job_front::hooks{table, [this] { return now; }, [] { return 5; },
-                         [this]() -> const workflow::catalogue* {
-                           return has_catalogue ? &catalogue : nullptr;
-                         },
-                         [](const char*, const observe::log_fields&) {},
-                         [this] { return access; },
-                         [this](const net::http_request& request, millis,
-                                const net::yield&) -> result<net::http_reply> {
-                           if (!peer_answers) {
-                             return reason{"answer_timeout", "no progress"};
-                           }
-                           passed_on = request;
-                           return net::http_reply{
-                               peer_status,
-                               {{"chiveglade-catalogue", peer_version}},
-                               "from the peer"};
-                         }});
+        job_front::hooks{
+            table, [this] { return now; }, [] { return 5; },
+            [this] {
+              return has_catalogue
+                         ? std::make_shared<const workflow::catalogue>(
+                               catalogue)
+                         : nullptr;
+            },
+            [](const char*, const observe::log_fields&) {},
+            [this] { return access; },
+            [this](const net::http_request& request, millis,
+                   const net::yield&) -> result<net::http_reply> {
+              if (!peer_answers) {
+                return reason{"answer_timeout", "no progress"};
+              }
+              passed_on = request;
+              return net::http_reply{peer_status,
+                                     {{"chiveglade-catalogue", peer_version}},
+                                     "from the peer"};
+            }});
   }
 
   net::http_reply Send(const std::string& method,
--- /dev/null
+++ b/tests/app/operator_feed_test.cc
@@ -0,0 +1,127 @@
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include "src/app/operator_feed.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+constexpr char kConfigKey[] = "operator/config";
+constexpr char kOutOfServiceKey[] = "operator/evacuate/dc";
+// Far above what a thread needs to be scheduled, below what callers allow a
+// change to take.
+constexpr millis kApplyTime{2'000};
+
+std::string Config(uint64_t version, const char* queue) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":")" + queue +
+         R"(","host":"h","prefix":"/q/","service":"s"}]})";
+}
+
+// A table whose rows the test changes from another thread.
+struct shared_table {
+  store::table_service Make(const strand& on) {
+    store::table_service out;
+    out.page = [this, on](const std::string&, const std::string&,
+                          const store::page_callback& then) {
+      const std::lock_guard lock(mutex);
+      net::asio::post(
+          on, [then, page = store::row_page{rows, false, 1}] { then(page); });
+    };
+    out.watch = [this, on](const std::string&, uint64_t, millis,
+                           const store::watch_callback& then) {
+      const std::lock_guard lock(mutex);
+      waiting = [on, then](const store::row_changes& changes) {
+        net::asio::post(on, [then, changes] { then(changes); });
+      };
+    };
+    return out;
+  }
+
+  // Waits until the feed watches, then sends it the change.
+  void Change(store::row_change change) {
+    std::function<void(const store::row_changes&)> to;
+    while (!to) {
+      std::this_thread::yield();
+      const std::lock_guard lock(mutex);
+      to = std::exchange(waiting, nullptr);
+    }
+    to({{std::move(change)}, ++version, false});
+  }
+
+  std::mutex mutex;
+  std::vector<store::row> rows;
+  std::function<void(const store::row_changes&)> waiting;
+  uint64_t version = 1;
+};
+
+std::unique_ptr<operator_feed> MakeFeed(shared_table& table) {
+  auto made = operator_feed::Make(
+      {[&table](net::asio::io_context&, const strand& on)
+           -> result<store::table_service> { return table.Make(on); },
+       [](const std::string&, const observe::log_fields&) {}, [] {}});
+  REQUIRE(made);
+  (*made)->Start();
+  return *std::move(made);
+}
+
+// Waits without running any event loop, as a gateway does that is busy.
+template <typename F>
+bool HoldsInTime(F condition) {
+  const auto end = std::chrono::steady_clock::now() + kApplyTime;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(millis(1));
+  }
+  return true;
+}
+
+uint64_t VersionOf(const operator_feed& feed) {
+  const auto catalogue = feed.newest()->catalogue;
+  return catalogue ? catalogue->version : 0;
+}
+
+}  // namespace
+
+TEST_CASE("a configuration is in force in time on a gateway that is busy") {
+  shared_table table;
+  table.rows = {{kConfigKey, Config(1, "a"), 1}};
+  const auto feed = MakeFeed(table);
+  CHECK(HoldsInTime([&] { return VersionOf(*feed) == 1; }));
+  table.Change({{kConfigKey, Config(3, "b"), 2}, false});
+  REQUIRE(HoldsInTime([&] { return VersionOf(*feed) == 3; }));
+  CHECK(feed->newest()->catalogue->queues.at(0).name == "b");
+}
+
+TEST_CASE("a configuration never goes back to an older version") {
+  shared_table table;
+  table.rows = {{kConfigKey, Config(5, "a"), 1}};
+  const auto feed = MakeFeed(table);
+  CHECK(HoldsInTime([&] { return VersionOf(*feed) == 5; }));
+  table.Change({{kConfigKey, Config(4, "b"), 2}, false});
+  table.Change({{kConfigKey, "not a configuration", 3}, false});
+  table.Change({{kOutOfServiceKey, "{}", 4}, false});
+  CHECK(HoldsInTime(
+      [&] { return feed->newest()->out_of_service.contains("dc"); }));
+  CHECK(VersionOf(*feed) == 5);
+}
+
+TEST_CASE("a data centre is out of service while its row exists") {
+  shared_table table;
+  table.rows = {{kOutOfServiceKey, "{}", 1}};
+  const auto feed = MakeFeed(table);
+  CHECK(HoldsInTime(
+      [&] { return feed->newest()->out_of_service.contains("dc"); }));
+  CHECK(feed->newest()->catalogue == nullptr);
+  table.Change({{kOutOfServiceKey, "", 2}, true});
+  CHECK(HoldsInTime([&] { return feed->newest()->out_of_service.empty(); }));
+}
+
+}  // namespace chiveglade::app
