--- a/include/chiveglade/workflow/interference_model.h
+++ b/include/chiveglade/workflow/interference_model.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -88,8 +89,10 @@
   void Set(const pair_weight& in);
 
  private:
-  // By image of the serving task, then of the best-effort task.
-  std::map<std::string, std::map<std::string, double>> weights_;
+  // By image of the serving task, then of the best-effort task. Hashed, because
+  // placement looks up a pair for each VM that it scores.
+  std::unordered_map<std::string, std::unordered_map<std::string, double>>
+      weights_;
 };
 
 }  // namespace chiveglade::workflow
