Search for expired jobs and faster VMs only where something can have changed

Callers: late starts on the grown site (SHORT); the same profile has 5% in the search for a faster VM, made for each throttled run ten times a second over all VMs, and 2.5% in a search through all jobs for one whose retention is over, made with each commit.

Change: loads are reported twice a second, so a faster VM is searched for a run at most that often; ended jobs are kept in the order of their end, so only the first can have expired.

Test: "ended jobs are deleted one per batch once their retention is over" (behaviour as before).

--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -85,6 +85,7 @@
   job.phase = phase;
   job.ended_at = now;
   active.erase(job.id);
+  ended.push_back(job.id);
   placement_order_stale = true;
   MarkDirty(job);
   if (restoring) {
@@ -124,13 +125,16 @@
 }
 
 void coordinator::state::DeleteOneExpiredJob(boot_time now) {
-  // At most one job per call, since deleting rows is not urgent.
-  for (auto& [id, job] : jobs) {
-    if (IsFinal(job->visible_phase) && !job->dirty && !job->in_batch &&
-        now - job->ended_at > options.ended_job_retention) {
-      MarkDirty(*job);
-      return;
-    }
+  if (ended.empty()) {
+    return;
+  }
+  auto& job = *jobs.at(ended.front());
+  if (IsFinal(job.visible_phase) && !job.dirty && !job.in_batch &&
+      now - job.ended_at > options.ended_job_retention) {
+    // The next batch deletes its rows, three entries of a transaction. At most
+    // one job per batch, since it is not urgent.
+    MarkDirty(job);
+    ended.pop_front();
   }
 }
 
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -31,6 +31,9 @@
 constexpr millis kMoveThrottledAfter{1'000};
 constexpr uint32_t kMaxLostWorkPercent = 25;
 constexpr double kMinSpeedAfterMove = 0.85;
+// Interval between searches for a faster VM for one run. Loads as reported
+// change twice a second.
+constexpr millis kMoveSearchInterval{500};
 
 // Returns true if a step with the same or a lower demand did not fit on any VM
 // in this pass. Ignores steps with `max_per_vm`, which may have failed because
@@ -281,9 +284,11 @@
       auto* job = FindJob(run.task.job);
       if (now - hosted.throttled_since < kMoveThrottledAfter || !job ||
           job->phase != job_phase::kRunning ||
-          (hosted.checkpoint.empty() && hosted.percent > kMaxLostWorkPercent)) {
+          (hosted.checkpoint.empty() && hosted.percent > kMaxLostWorkPercent) ||
+          now - hosted.move_considered_at < kMoveSearchInterval) {
         continue;
       }
+      hosted.move_considered_at = now;
       if (HasFasterVm(*job, run.task, vm, now)) {
         Log("run_moved", {{"task", ToString(run.task)},
                           {"run", std::to_string(run.run)},
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -2,6 +2,7 @@
 #ifndef CHIVEGLADE_SRC_WORKFLOW_COORDINATOR_STATE_H_
 #define CHIVEGLADE_SRC_WORKFLOW_COORDINATOR_STATE_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,8 +28,9 @@
   boot_time placed_at{};
   // When it was last not throttled below kSlowPacePercent.
   boot_time throttled_since{};
-  boot_time last_order_at{};     // zero: an order must be sent
-  boot_time last_progress_at{};  // moves on too while throttled
+  boot_time move_considered_at{};  // last search for a faster VM
+  boot_time last_order_at{};       // zero: an order must be sent
+  boot_time last_progress_at{};    // moves on too while throttled
   // As last reported; see run_status.
   uint32_t percent = 0;
   uint32_t pace = 100;
@@ -116,6 +118,8 @@
   std::set<std::string> out_of_service;
   std::map<std::string, std::unique_ptr<job_state>> jobs;
   std::set<std::string> active;  // ids of jobs without a final phase
+  std::deque<std::string>
+      ended;  // ids of the others, in the order of their end
   // Active jobs in the order of placement.
   std::vector<job_state*> placement_order;
   bool placement_order_stale = true;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -519,4 +519,31 @@
   CHECK(starts[0].run.task.job == "late");
 }
 
+TEST_CASE("ended jobs are deleted one per batch once their retention is over") {
+  coordinator_fixture world;
+  for (const char* id : {"a", "b", "c"}) {
+    world.AddJob(id, MakeSubmission({MakeStep(1)}));
+    world.core->CancelJob(id, world.now);
+    world.now += millis(1'000);
+  }
+  CHECK(world.core->TakeBatch(world.now).size() == 3);
+  world.core->OnCommitted(world.now);
+  const auto deleted = [&world] {
+    std::vector<std::string> out;
+    for (const auto& row : world.core->TakeBatch(world.now)) {
+      CHECK_FALSE(row.record);
+      out.push_back(row.job);
+    }
+    world.core->OnCommitted(world.now);
+    return out;
+  };
+  CHECK(deleted().empty());
+  world.now += coordinator_options{}.ended_job_retention - millis(1'500);
+  CHECK(deleted() == std::vector<std::string>{"a"});
+  CHECK(deleted() == std::vector<std::string>{"b"});
+  CHECK(deleted().empty());
+  CHECK_FALSE(world.core->FindJobView("a"));
+  CHECK(world.core->FindJobView("c"));
+}
+
 }  // namespace chiveglade::workflow
