--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -137,6 +137,19 @@
   CHECK(body["expected"][0]["ver"] == 4);
   CHECK(body["upserts"][0]["value"] == "dg==");
   CHECK(body["remove"][0]["key"] == "b");
+  const store::transaction many{
+      {{"leader/current", 4}, {"job/a", 0}},
+      {{"job/a", "v"}, {"job/q\"\\", ""}, {"x/y", std::nullopt}}};
+  CHECK(json::parse(WriteTransaction(many)) == json::parse(R"({
+    "expected": [
+      {"table": "leader", "part": "c", "key": "current", "ver": 4},
+      {"table": "job", "part": "c", "key": "a", "ver": 0}],
+    "upserts": [
+      {"table": "job", "part": "c", "key": "a", "value": "dg=="},
+      {"table": "job", "part": "c", "key": "q\"\\", "value": ""}],
+    "remove": [{"table": "x", "part": "c", "key": "y"}]})"));
+  CHECK(json::parse(WriteTransaction({})) ==
+        json::parse(R"({"expected":[],"upserts":[],"remove":[]})"));
 }
 
 TEST_CASE("replies of the store are decoded, without malformed rows") {
