Search interference weights by hash also in small maps

Cause: the profile after the last change still has 9% of the coordinator's time in interference_model::Weight, most of it in memcmp: the library searches maps of up to 20 keys one after another if it takes their hash to be slow, as it does for strings. A hash function of our own counts as fast.

--- a/include/chiveglade/workflow/interference_model.h
+++ b/include/chiveglade/workflow/interference_model.h
@@ -7,6 +7,7 @@
 #ifndef CHIVEGLADE_WORKFLOW_INTERFERENCE_MODEL_H_
 #define CHIVEGLADE_WORKFLOW_INTERFERENCE_MODEL_H_
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -89,10 +90,19 @@
   void Set(const pair_weight& in);
 
  private:
+  // The standard hash of a string counts as slow, and small maps that use it
+  // are searched one key after another.
+  struct image_hash {
+    size_t operator()(const std::string& image) const {
+      return std::hash<std::string>()(image);
+    }
+  };
+  template <typename T>
+  using map_by_image = std::unordered_map<std::string, T, image_hash>;
+
   // By image of the serving task, then of the best-effort task. Hashed, because
   // placement looks up a pair for each VM that it scores.
-  std::unordered_map<std::string, std::unordered_map<std::string, double>>
-      weights_;
+  map_by_image<map_by_image<double>> weights_;
 };
 
 }  // namespace chiveglade::workflow
