Pause after a pass of the coordinator for as long as it took

Cause: a pass (placement, commit, orders) may follow each commit after 15 ms.

Change: commit_pacer leaves at least as much time after a pass as the pass took. VMs with a larger share see no change, where a pass takes less than 7 ms.

--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -33,6 +33,7 @@
       metrics_(metrics),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
+      pacer_(options_.commit_interval),
       pump_timer_(on_) {
   workflow::writer_options writing;
   writing.name = options_.name;
@@ -289,8 +290,9 @@
   if (!writer_->holds() || writer_->busy()) {
     return;
   }
-  if (now < next_commit_) {
-    SchedulePump(std::chrono::duration_cast<millis>(next_commit_ - now));
+  if (now < pacer_.next()) {
+    // Rounded up, so that the timer does not fire just before the time.
+    SchedulePump(std::chrono::ceil<millis>(pacer_.next() - now));
     return;
   }
   coordinator_->Tick(now, hooks_.unix_ms());
@@ -298,11 +300,12 @@
     Commit();
   }
   SendOrders();
+  pacer_.OnPass(now, hooks_.clock());
 }
 
 void coordinator_host::Commit() {
   const auto now = hooks_.clock();
-  next_commit_ = now + options_.commit_interval;
+  pacer_.OnCommit(now);
   std::vector<store::mutation> changes;
   for (auto& row : coordinator_->TakeBatch(now)) {
     changes.push_back({kProgressPrefix + row.job, row.record});
@@ -324,7 +327,7 @@
       return;
     }
     coordinator_->OnNotCommitted();
-    next_commit_ = hooks_.clock() + kReadRetry;
+    pacer_.Pause(hooks_.clock(), kReadRetry);
   });
 }
 
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -19,6 +19,7 @@
 #include "chiveglade/store/table_follower.h"
 #include "chiveglade/workflow/coordinator.h"
 #include "chiveglade/workflow/fenced_writer.h"
+#include "commit_pacer.h"
 #include "operator_feed.h"
 #include "peer_pool.h"
 
@@ -110,7 +111,7 @@
   // What `coordinator_` was given last; null: nothing yet.
   std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
-  boot_time next_commit_{};
+  commit_pacer pacer_;
   boot_time reported_at_{};
   net::asio::steady_timer pump_timer_;
   bool pump_scheduled_ = false;
