Play tasks that fail while they are being stopped in the fault world

Why the tests missed the fault of the attempts: no task failed in the fault world, and no run was stopped there but by a cancellation.

Change: runs of jobs named failing stand still and fail from when the coordinator calls them hung to 0.6 s later; an invariant counts acknowledged failures before each start. The random faults play two such jobs.

--- a/tests/workflow/fake_worker.cc
+++ b/tests/workflow/fake_worker.cc
@@ -7,9 +7,8 @@
 fake_worker::fake_worker(std::string vm, worker_observer observer)
     : vm_(std::move(vm)), observer_(std::move(observer)) {}
 
-void fake_worker::Advance(
-    millis time,
-    const std::function<millis(const run_key&)>& duration) {
+void fake_worker::Advance(millis time,
+                          const std::function<run_plan(const run_key&)>& plan) {
   if (!up_) {
     return;
   }
@@ -20,10 +19,12 @@
   std::vector<std::pair<run_key, run_result>> over;
   for (auto& [run, state] : runs_) {
     state.elapsed += time;
+    const auto planned = plan(run);
+    state.makes_progress = planned.makes_progress;
     if (clock_ms_ > lease_until_ms_) {
       over.emplace_back(run, run_result::kLapsed);
-    } else if (state.elapsed >= duration(run)) {
-      over.emplace_back(run, run_result::kDone);
+    } else if (state.elapsed >= planned.duration) {
+      over.emplace_back(run, planned.how);
     }
   }
   for (const auto& [run, how] : over) {
@@ -150,7 +151,9 @@
   for (const auto& [run, state] : runs_) {
     run_status status;
     status.run = run;
-    status.percent = static_cast<uint32_t>(state.elapsed.count() % 100);
+    status.percent = state.makes_progress
+                         ? static_cast<uint32_t>(state.elapsed.count() % 100)
+                         : 0;
     out.runs.push_back(status);
   }
   out.ends = ends_;
--- a/tests/workflow/fake_worker.h
+++ b/tests/workflow/fake_worker.h
@@ -22,13 +22,20 @@
       acknowledged;
 };
 
+// How a run goes unless it is stopped or its lease expires.
+struct run_plan {
+  millis duration{0};
+  run_result how = run_result::kDone;
+  bool makes_progress = true;  // its percentage changes
+};
+
 class fake_worker {
  public:
   fake_worker(std::string vm, worker_observer observer);
 
-  // Advances the clock. `duration` returns how long a run takes.
+  // Advances the clock.
   void Advance(millis time,
-               const std::function<millis(const run_key&)>& duration);
+               const std::function<run_plan(const run_key&)>& plan);
 
   // Drops all runs and state and begins a new incarnation.
   void Crash(bool stays_down);
@@ -52,6 +59,7 @@
 
   struct run_state {
     millis elapsed{0};
+    bool makes_progress = true;
   };
 
   void End(const run_key& run, run_result how);
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -19,18 +19,26 @@
   }
 }
 
+// Of one task each, since a job ends with the first task that has failed.
+void SubmitFailingJobs(workflow_world& world, int count) {
+  for (int i = 0; i < count; ++i) {
+    world.Submit(workflow_world::kFailingJob + std::to_string(i),
+                 MakeSubmission({MakeStep(1)}));
+  }
+}
+
 void CheckInvariants(const workflow_world& world) {
   for (const auto& violations : world.violations()) {
     FAIL_CHECK(violations);
   }
 }
 
-// Ends all faults, after which every job must complete.
+// Ends all faults, after which every job must end as it should.
 void CheckCompletes(workflow_world& world) {
   world.Heal();
   world.Advance(millis(30'000));
   CheckInvariants(world);
-  CHECK(world.AllCompleted());
+  CHECK(world.AllEnded());
   CHECK(world.coordinators() == 1);
 }
 
@@ -41,7 +49,17 @@
   SubmitJobs(world, 6);
   world.Advance(millis(12'000));
   CheckInvariants(world);
-  CHECK(world.AllCompleted());
+  CHECK(world.AllEnded());
+}
+
+TEST_CASE("a task that fails while it is being stopped has no extra attempt") {
+  const int seed = GENERATE(range(1, 21));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  SubmitFailingJobs(world, 10);
+  world.Advance(millis(20'000));
+  CheckInvariants(world);
+  CHECK(world.AllEnded());
 }
 
 TEST_CASE("jobs survive each single fault at various times") {
@@ -101,6 +119,7 @@
     return std::uniform_int_distribution<size_t>(0, below - 1)(random);
   };
   SubmitJobs(world, 8);
+  SubmitFailingJobs(world, 2);
   world.SetFaults({0.1, 0.05, 0.1});
   for (int i = 0; i < 14; ++i) {
     world.Advance(millis(200 + 100 * pick(20)));
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -214,7 +214,15 @@
   }
   for (auto& runner : runners_) {
     runner->worker->Advance(kStep, [](const run_key& run) {
-      return millis(400 + 300 * run.task.index);
+      if (run.task.job.starts_with(kFailingJob)) {
+        // Spread over the time at which the coordinator stops a hung run.
+        const auto spread =
+            (97 * static_cast<unsigned>(run.task.job.back()) + 211 * run.run) %
+            600;
+        return run_plan{coordinator_options{}.progress_timeout + millis(spread),
+                        run_result::kFailed, false};
+      }
+      return run_plan{millis(400 + 300 * run.task.index)};
     });
     StepRunner(*runner);
   }
@@ -354,6 +362,7 @@
   }
   at.insert(vm);
   started_at_[run.task] = time_;
+  CheckAttempts(run.task);
   if (++running_on_[vm] > kMaxTasksOnVm) {
     violations_.push_back("exceeds the VM's capacity: " + what);
   }
@@ -381,12 +390,30 @@
   --running_on_[vm];
   if (how == run_result::kDone) {
     done_at_[run] = time_;
+  } else if (how == run_result::kFailed) {
+    failed_at_[run] = time_;
+  }
+}
+
+void workflow_world::CheckAttempts(const task_key& task) {
+  const auto job = jobs_.find(task.job);
+  const auto& failures = acknowledged_failures_[task];
+  const auto before_start = std::count_if(
+      failures.begin(), failures.end(),
+      [&](millis failed_at) { return failed_at < started_at_[task]; });
+  if (job != jobs_.end() && before_start >= job->second.attempts) {
+    violations_.push_back("started after its attempts were used up: " +
+                          ToString(task));
   }
 }
 
 void workflow_world::OnAcknowledged(const std::string& vm,
                                     const run_end& end,
                                     bool lapsed) {
+  if (end.how == run_result::kFailed && !lapsed) {
+    acknowledged_failures_[end.run.task].push_back(failed_at_[end.run]);
+    CheckAttempts(end.run.task);
+  }
   if (end.how != run_result::kDone || lapsed) {
     return;
   }
@@ -398,14 +425,16 @@
   }
 }
 
-bool workflow_world::AllCompleted() const {
+bool workflow_world::AllEnded() const {
   for (const auto& gateway : gateways_) {
     if (!gateway->core || !gateway->writer->holds()) {
       continue;
     }
     for (const auto& [id, job] : jobs_) {
       const auto view = gateway->core->FindJobView(id);
-      if (!view || view->phase != job_phase::kCompleted) {
+      const auto expected = id.starts_with(kFailingJob) ? job_phase::kFailed
+                                                        : job_phase::kCompleted;
+      if (!view || view->phase != expected) {
         return false;
       }
     }
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -25,6 +25,10 @@
 // Deterministic for a given seed.
 class workflow_world {
  public:
+  // The runs of jobs whose IDs begin so stand still and fail about when the
+  // coordinator stops them.
+  static constexpr char kFailingJob[] = "failing";
+
   struct faults {
     double lost_message = 0;       // share of messages between processes
     double late_order = 0;         // share of calls to workers that run late
@@ -52,7 +56,8 @@
 
   // Violated invariants; empty if there were none.
   const std::vector<std::string>& violations() const { return violations_; }
-  bool AllCompleted() const;
+  // True if the failing jobs have failed and all others have completed.
+  bool AllEnded() const;
   size_t coordinators() const;
 
  private:
@@ -75,6 +80,7 @@
   void CallWorker(runner& on);
 
   void OnStarted(const std::string& vm, const run_key& run);
+  void CheckAttempts(const task_key& task);
   void OnEnded(const std::string& vm, const run_key& run, run_result how);
   void OnAcknowledged(const std::string& vm, const run_end& end, bool lapsed);
 
@@ -93,6 +99,9 @@
   // When each run completed, and when each task last started.
   std::map<run_key, millis> done_at_;
   std::map<task_key, millis> started_at_;
+  std::map<run_key, millis> failed_at_;
+  // When the runs of each task failed whose ends were acknowledged in time.
+  std::map<task_key, std::vector<millis>> acknowledged_failures_;
   std::vector<std::string> violations_;
 };
 
