Predict the effect of recent best-effort tasks once per load

The profile with the pacer still has 11% of the coordinator's time in interference_model::Weight: each score of a VM added up the effects of all recently placed best-effort tasks on each serving task, though they do not depend on the step.

Change: the load of a VM, which is kept between passes, includes them; a score looks up one pair for each serving image. The sums are the same.

--- a/include/chiveglade/workflow/placement.h
+++ b/include/chiveglade/workflow/placement.h
@@ -33,19 +33,20 @@
   struct serving_image {
     std::string image;
     // Highest tail latency of these tasks as a share of the target; 0 if
-    // unknown.
+    // unknown. Includes the predicted rise by best-effort tasks that were
+    // placed too recently to show in the measurement.
     double ratio = 0;
     uint32_t tasks = 1;
     friend bool operator==(const serving_image&,
                            const serving_image&) = default;
   };
   std::vector<serving_image> serving;
-  // Best-effort tasks placed so recently that the ratios in `serving` do not
-  // reflect them, aggregated by image.
-  std::vector<interference_sample::best_effort_task> recent_best_effort;
-
   void AddServing(const std::string& image, double ratio);
-  void AddRecentBestEffort(const std::string& image, double cores);
+  // Adds the predicted effect of a recently placed best-effort task on the
+  // serving tasks, which must have been added before.
+  void AddRecentBestEffort(const std::string& image,
+                           double cores,
+                           const interference_model& model);
   // Live runs of the step being placed; maintained only if it has `max_per_vm`.
   uint32_t same_step = 0;
   bool suspect = false;  // see worker_health
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -256,17 +256,19 @@
   out.best_effort_millicores = vm.best_effort_millicores;
   out.serving_millicores = vm.serving_millicores;
   for (const auto& [run, hosted] : vm.runs) {
-    if (!hosted.step) {
-      continue;
-    }
-    if (hosted.step->latency_target.count() > 0) {
+    if (hosted.step && hosted.step->latency_target.count() > 0) {
       out.AddServing(hosted.step->image, LatencyRatio(hosted));
-    } else if (hosted.step->best_effort &&
-               now - hosted.placed_at < kMeasurementDelay) {
+    }
+  }
+  for (const auto& [run, hosted] : vm.runs) {
+    if (hosted.step && hosted.step->best_effort &&
+        hosted.step->latency_target.count() == 0 &&
+        now - hosted.placed_at < kMeasurementDelay) {
       out.AddRecentBestEffort(
           hosted.step->image,
           static_cast<double>(hosted.step->demand.millicores) /
-              kMillicoresPerCore);
+              kMillicoresPerCore,
+          interference);
     }
   }
   out.suspect = vm.health.IsSuspect(now);
--- a/src/workflow/placement.cc
+++ b/src/workflow/placement.cc
@@ -71,14 +71,11 @@
   }
 }
 
-void vm_load::AddRecentBestEffort(const std::string& image, double cores) {
-  const auto at =
-      std::find_if(recent_best_effort.begin(), recent_best_effort.end(),
-                   [&](const auto& item) { return item.image == image; });
-  if (at == recent_best_effort.end()) {
-    recent_best_effort.push_back({image, cores});
-  } else {
-    at->cores += cores;
+void vm_load::AddRecentBestEffort(const std::string& image,
+                                  double cores,
+                                  const interference_model& model) {
+  for (auto& task : serving) {
+    task.ratio += model.Weight(image, task.image) * cores;
   }
 }
 
@@ -107,11 +104,7 @@
     if (ratio_increase <= kMinNoticeableRatioIncrease) {
       continue;
     }
-    double slack = options.max_latency_ratio - serving.ratio;
-    for (const auto& best_effort : vm.recent_best_effort) {
-      slack -=
-          model.Weight(best_effort.image, serving.image) * best_effort.cores;
-    }
+    const double slack = options.max_latency_ratio - serving.ratio;
     speed = std::min(speed, std::max(0.0, slack / ratio_increase));
   }
   return speed;
--- a/tests/workflow/placement_test.cc
+++ b/tests/workflow/placement_test.cc
@@ -92,7 +92,7 @@
   auto vm = MakeVm();
   vm.serving = {{"web", 0.4}};
   CHECK(BestEffortSpeed(vm, MakeBestEffortStep("f"), model, {}) == Approx(1));
-  vm.recent_best_effort = {{"f", 2.5}};
+  vm.AddRecentBestEffort("f", 2.5, model);
   CHECK(BestEffortSpeed(vm, MakeBestEffortStep("f"), model, {}) < 0.5);
 }
 
