Bound the pause after a pass of the coordinator

A VM that was frozen in the middle of a pass would have paused for as long as the freeze when it went on, or when it next gained the role. Found on reading the change; the pause is now 500 ms at most.

Test: "a VM that was frozen during a pass places tasks soon after" failed before (a pause of 4 s).

--- a/src/app/commit_pacer.h
+++ b/src/app/commit_pacer.h
@@ -22,7 +22,8 @@
 
   void OnCommit(boot_time now) { next_ = std::max(next_, now + interval_); }
   void OnPass(boot_time began, boot_time ended) {
-    next_ = std::max(next_, ended + (ended - began));
+    next_ = std::max(next_, ended + std::min<boot_clock::duration>(
+                                        ended - began, kMaxPause));
   }
   // No pass for a while after a write that failed.
   void Pause(boot_time now, millis time) { next_ = now + time; }
@@ -30,6 +31,9 @@
   boot_time next() const { return next_; }
 
  private:
+  // A longer pass was interrupted, for instance because the VM was frozen.
+  static constexpr millis kMaxPause{500};
+
   millis interval_;
   boot_time next_{};
 };
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -30,7 +30,8 @@
 
 namespace {
 
-// One thread: a VM of this role has a fraction of a processor.
+// One thread, beside that of the operator feed: a VM of this role has a
+// fraction of a processor.
 constexpr uint32_t kThreads = 1;
 constexpr millis kFlushInterval{100};
 constexpr millis kGaugeInterval{1'000};
--- a/tests/app/commit_pacer_test.cc
+++ b/tests/app/commit_pacer_test.cc
@@ -52,4 +52,11 @@
   CHECK(pacer.next() == now + millis(2));
 }
 
+TEST_CASE("a VM that was frozen during a pass places tasks soon after") {
+  commit_pacer pacer(kInterval);
+  const boot_time thawed{millis(1'000'000)};
+  pacer.OnPass(thawed - millis(4'000), thawed);
+  CHECK(pacer.next() <= thawed + millis(500));
+}
+
 }  // namespace chiveglade::app
