Count the balancer's delay from the beginning of the stop

Cause, inferred: the stop released the coordinator's role, reported not ready for 2.5 s and then drained, one after the other, within 5.5 s.

Change: the gateway reports not ready from the beginning of the stop, so the delay counts from there, and a slow release leaves its time to the drain.

Test: "a slow step of the stop does not prolong a delay after it" failed with the delay counted from the end of the step before (3.5 s).

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -298,13 +298,9 @@
     net::asio::post(control,
                     [this, then = std::move(then)] { host->Release(then); });
   });
-  cycle.AddStopStep("balancer", [this](const std::function<void()>& then) {
-    // Callers are sent here until the balancer has noticed.
-    auto timer = std::make_shared<net::asio::steady_timer>(
-        control, settings.unready_before_stop);
-    timer->async_wait(
-        [timer, then](const boost::system::error_code&) { then(); });
-  });
+  // Callers are sent here until the balancer has noticed. It is told from the
+  // beginning of the stop, so a slow release leaves time to drain.
+  cycle.AddStopDelay("balancer", settings.unready_before_stop);
   cycle.AddStopStep("callers", [this](std::function<void()> then) {
     callers->Drain(std::move(then));
   });
--- a/src/app/lifecycle.cc
+++ b/src/app/lifecycle.cc
@@ -46,12 +46,21 @@
       strand_(net::asio::make_strand(loop)),
       signals_(strand_, SIGTERM, SIGINT, SIGHUP),
       deadline_(strand_),
+      delay_(strand_),
       grace_(grace) {}
 
 void lifecycle::AddStopStep(std::string name, stop_step step) {
   steps_.push_back({std::move(name), std::move(step)});
 }
 
+void lifecycle::AddStopDelay(std::string name, millis time) {
+  AddStopStep(std::move(name), [this, time](std::function<void()> done) {
+    delay_.expires_at(stop_began_ + time);
+    delay_.async_wait(
+        [done = std::move(done)](const boost::system::error_code&) { done(); });
+  });
+}
+
 void lifecycle::AwaitSignal() {
   signals_.async_wait(
       [this](const boost::system::error_code& error, int signal) {
@@ -83,6 +92,7 @@
 }
 
 void lifecycle::Begin() {
+  stop_began_ = std::chrono::steady_clock::now();
   observe::LogInfo("stopping", {{"grace_ms", std::to_string(grace_.count())}});
   deadline_.expires_after(grace_);
   deadline_.async_wait([this](const boost::system::error_code& error) {
--- a/src/app/lifecycle.h
+++ b/src/app/lifecycle.h
@@ -2,6 +2,7 @@
 #ifndef CHIVEGLADE_APP_LIFECYCLE_H_
 #define CHIVEGLADE_APP_LIFECYCLE_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,9 @@
 
   // Steps run in the order in which they were added.
   void AddStopStep(std::string name, stop_step step);
+  // Adds a step that ends `time` after the stop began, at once if the steps
+  // before it took longer.
+  void AddStopDelay(std::string name, millis time);
 
   // Called on SIGHUP, which otherwise changes nothing.
   void OnReload(std::function<void()> reload) { reload_ = std::move(reload); }
@@ -52,6 +56,8 @@
   strand strand_;
   net::asio::signal_set signals_;
   net::asio::steady_timer deadline_;
+  net::asio::steady_timer delay_;
+  std::chrono::steady_clock::time_point stop_began_;
   millis grace_;
   std::vector<named_step> steps_;
   std::function<void()> reload_;
