Skip ended jobs that are already deleted

A job whose retention is over is deleted by any batch it is in, also one that the late end of a run put it in; the list of ended jobs then named a job that is gone, and the next batch threw.

Test: "an expired job that a late end has deleted is not looked for again" failed before (out_of_range).

--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -125,6 +125,10 @@
 }
 
 void coordinator::state::DeleteOneExpiredJob(boot_time now) {
+  // The late end of a run may have had a job deleted already.
+  while (!ended.empty() && !jobs.contains(ended.front())) {
+    ended.pop_front();
+  }
   if (ended.empty()) {
     return;
   }
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -546,4 +546,19 @@
   CHECK(world.core->FindJobView("c"));
 }
 
+TEST_CASE(
+    "an expired job that a late end has deleted is not looked for again") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  world.core->CancelJob(kJob, world.now);
+  world.Commit();
+  world.now += coordinator_options{}.ended_job_retention + millis(1'000);
+  world.ReportEnd("vm", 1, Run(0, 0, 1), run_result::kStopped);
+  world.Commit();
+  CHECK_FALSE(world.core->FindJobView(kJob));
+  CHECK_NOTHROW(world.Commit());
+}
+
 }  // namespace chiveglade::workflow
