--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -3,6 +3,7 @@
 #define CHIVEGLADE_CONFIG_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,11 +70,18 @@
 struct gateway_settings {
   std::string name;  // unique among gateways that run at the same time
   std::string data_centre;
-  endpoint caller_listen;   // HTTP/1.1 from callers
-  endpoint ready_listen;    // HTTP/1.1 from the balancer
+  // HTTP/1.1 from callers and from the balancer; without them the process only
+  // stands by as coordinator.
+  std::optional<endpoint> caller_listen;
+  std::optional<endpoint> ready_listen;
   endpoint peer_listen;     // HTTP/2 from runners and other gateways
   endpoint metrics_listen;  // HTTP/1.1, metrics and status
   std::vector<endpoint> store;
+  // Share of a processor of relative speed `processor_speed`, and link of the
+  // VM. The fittest gateway coordinates; zero: unknown.
+  double processor_share = 0;
+  double processor_speed = 1;
+  double link_mbps = 0;
   millis store_timeout{600};
   millis commit_interval{15};  // shortest time between two writes of progress
   millis leader_lease{1'400};  // silence after which another takes over
--- a/include/chiveglade/net/http_client.h
+++ b/include/chiveglade/net/http_client.h
@@ -17,7 +17,11 @@
 // Limits of one client.
 struct http_client_options {
   millis connect_timeout{1'000};
-  millis answer_timeout{5'000};  // from the first byte sent to the answer
+  // Longest time without a byte sent or received, from the first byte sent to
+  // the end of the answer: a large answer over a slow link takes long.
+  millis answer_timeout{5'000};
+  // Longest time for the whole exchange; zero: `answer_timeout`.
+  millis total_timeout{0};
   uint32_t max_header_bytes = 16 * 1024;
   uint64_t max_body_bytes = 64UL * 1024 * 1024;  // of one answer
   uint32_t max_idle_connections = 8;             // kept for the next requests
@@ -52,8 +56,8 @@
   // options.
   virtual http_outcome Send(const http_request& request, yield yield) = 0;
 
-  // The same with another limit for sending the request and receiving the
-  // answer; connecting has its own.
+  // The same with another limit for sending the whole request and receiving the
+  // whole answer; connecting has its own.
   virtual http_outcome Send(const http_request& request,
                             millis answer_timeout,
                             yield yield) = 0;
--- a/include/chiveglade/store/http_store_options.h
+++ b/include/chiveglade/store/http_store_options.h
@@ -22,7 +22,9 @@
   // Addresses of the same service. A call goes to the first that takes it.
   std::vector<http_endpoint> endpoints;
   millis connect_timeout{500};  // for one endpoint
-  millis call_timeout{3'000};   // from the first byte sent to the whole answer
+  // Longest time without progress of a call. A large answer that arrives
+  // steadily over a slow link may take several times as long.
+  millis call_timeout{3'000};
   // An endpoint that could not be connected to is skipped for this long, unless
   // all are.
   millis skip_after_refusal{1'000};
--- a/include/chiveglade/store/table.h
+++ b/include/chiveglade/store/table.h
@@ -106,9 +106,11 @@
   std::function<void(std::string key, read_callback)> read;
   std::function<void(std::string prefix, size_t limit, scan_callback)> scan;
   std::function<void(transaction, commit_callback)> commit;
-  // Optional; empty if the service cannot do it. A page of the rows whose keys
-  // start with `prefix` and come after `after`; empty: from the first.
-  std::function<void(std::string prefix, std::string after, page_callback)>
+  // Optional; empty if the service cannot do it. A page of at most `limit` rows
+  // whose keys start with `prefix` and come after `after`; empty: from the
+  // first. The service may return fewer and set `more`.
+  std::function<
+      void(std::string prefix, std::string after, size_t limit, page_callback)>
       page;
   // Optional. Waits at most `wait` for changes of rows whose keys start with
   // `prefix` after `version`; answers without rows if there were none.
--- a/include/chiveglade/store/table_follower.h
+++ b/include/chiveglade/store/table_follower.h
@@ -9,11 +9,15 @@
 
 #include "chiveglade/core/clock.h"
 #include "chiveglade/store/table.h"
+#include "chiveglade/store/table_scan.h"
 
 namespace chiveglade::store {
 
 struct follower_options {
   std::string prefix;  // the table's name and '/'
+  // Prefixes that cover the table and are scanned side by side; empty:
+  // `prefix`.
+  std::vector<std::string> scan_prefixes;
   millis wait{1'500};  // longest wait of one watch
   // Wait before a failed call is repeated, so that a store that comes back is
   // noticed at once without being flooded.
@@ -44,13 +48,12 @@
  private:
   table_follower(follower_options options, hooks hooks);
 
-  void Scan(const std::string& after);
-  void OnPage(result<row_page> page);
+  void ScanAll();
+  void Scan(const std::string& prefix);
   void Watch();
   void OnChanges(result<row_changes> changes);
-  void Retry(const reason& why, void (table_follower::*call)());
-  void ScanAll();
-  void Succeeded();
+  void OnLost(const reason& why);
+  void OnRegained();
   // Wraps a callback so that it does nothing once this object is gone.
   template <typename T>
   std::function<void(T)> Guard(void (table_follower::*call)(T)) {
@@ -63,6 +66,8 @@
 
   follower_options options_;
   hooks hooks_;
+  std::vector<std::unique_ptr<table_scan>> scans_;
+  size_t scans_left_ = 0;
   std::vector<row> scanned_;
   uint64_t version_ = 0;
   bool failing_ = false;
--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -16,6 +16,7 @@
 #include "chiveglade/core/clock.h"
 #include "chiveglade/workflow/catalogue.h"
 #include "chiveglade/workflow/job_record.h"
+#include "chiveglade/workflow/job_rows.h"
 #include "chiveglade/workflow/message.h"
 #include "chiveglade/workflow/placement.h"
 
@@ -92,6 +93,12 @@
               boot_time now,
               int64_t now_unix_ms);
   void CancelJob(const std::string& id, boot_time now);
+  // Adds a job that ended under an earlier leader, so that its row is deleted
+  // after `ended_job_retention`.
+  void AddEndedJob(const std::string& id,
+                   const ended_job& in,
+                   boot_time now,
+                   int64_t now_unix_ms);
 
   // Applies a report and returns the answer to it. `last_commit_sent_at` is
   // when the latest write known to be committed was sent. The lease in the
@@ -117,6 +124,23 @@
   void OnCommitted(boot_time now);
   void OnNotCommitted();
 
+  // Jobs whose end is durable and whose runs have all ended, to be moved to the
+  // ended ones, and ended jobs that callers may no longer ask for, to be
+  // deleted.
+  struct ended_batch {
+    std::map<std::string, ended_job> ends;
+    std::vector<std::string> forgets;
+    bool empty() const { return ends.empty() && forgets.empty(); }
+  };
+  // Returns the oldest and others whose rows are in the same part of the store,
+  // at most `max_jobs`, either ends or forgets. They are returned again unless
+  // OnEndedWritten follows.
+  ended_batch TakeEnded(boot_time now, size_t max_jobs) const;
+  void OnEndedWritten(const ended_batch& written);
+  // Adds a row of progress whose job has ended under an earlier leader, so that
+  // it is deleted.
+  void AddLeftoverProgress(const std::string& id);
+
   // A message to the runner of one VM.
   struct addressed_orders {
     std::string vm;
--- a/include/chiveglade/workflow/fenced_writer.h
+++ b/include/chiveglade/workflow/fenced_writer.h
@@ -13,37 +13,21 @@
 #include "chiveglade/core/random.h"
 #include "chiveglade/core/result.h"
 #include "chiveglade/store/table.h"
+#include "chiveglade/workflow/leader_row.h"
+#include "chiveglade/workflow/succession.h"
 
 namespace chiveglade::workflow {
 
-inline constexpr char kLeaderKey[] = "leader/current";
-
-// Value of the leader row. Every write of the leader also rewrites this row, so
-// the row's version is the fencing token of the next write.
-struct leader_row {
-  uint64_t epoch = 0;  // incremented by each takeover
-  std::string holder;
-  std::string address;    // where the holder receives reports
-  std::string nonce;      // unique for each write
-  bool released = false;  // the holder has resigned
-
-  friend bool operator==(const leader_row&, const leader_row&) = default;
-};
-
-std::string EncodeLeaderRow(const leader_row& in);
-result<leader_row> DecodeLeaderRow(const std::string& text);
-
 // Outcome of a write. `kNotApplied`: refused by the store; the role is kept.
 // `kFenced`: another process has written the leader row; the role is lost.
 enum class write_status { kCommitted, kNotApplied, kFenced };
 
 struct writer_options {
-  std::string name;
-  std::string address;
-  // Time without a write of the holder after which another process takes over.
-  // Several renewal intervals, so that one slow answer of the store does not
-  // cost the role.
-  millis lease{1'400};
+  candidate self;
+  succession_options succession;
+  // Interval at which a process without the role reads the leader row. A fifth
+  // of the default lease.
+  millis poll_interval{300};
   // Maximum time between two writes of the holder.
   millis renewal_interval{400};
   // Delay before the next attempt to resolve a write with an unknown outcome.
@@ -59,10 +43,9 @@
 // the row has its nonce, and it is sent again if the row is unchanged;
 // otherwise the role is lost.
 //
-// Takeover does not depend on synchronised clocks: the row must stay unchanged
-// for the lease while the store answers reads. A process that finds its own
-// name in the row held the role before a restart and need not wait. Not
-// thread-safe.
+// Takeover does not depend on synchronised clocks: times are those that the row
+// was seen unchanged, or renewed by a holder that is not ready, while the store
+// answered reads. MayTakeOver decides. Not thread-safe.
 class fenced_writer {
  public:
   struct hooks {
@@ -73,6 +56,9 @@
     std::function<void(const char* why)> lost;
     // The leader row was read and names another holder. Optional.
     std::function<void(const leader_row&)> other_holder_seen;
+    // The leader row cannot be decoded; it is taken as held by an unknown
+    // process. Optional.
+    std::function<void(const reason&)> row_unreadable;
   };
 
   fenced_writer(writer_options options, hooks hooks);
@@ -89,6 +75,9 @@
   // Returns when the latest committed write was sent.
   boot_time last_commit_sent_at() const { return last_commit_sent_at_; }
 
+  // Declares in the leader row, with the next write, that this holder decides.
+  void SetReady() { ready_ = true; }
+
   // Writes rows. Requires holds() and !busy().
   void Write(std::vector<store::mutation> changes,
              std::function<void(write_status)> then);
@@ -96,6 +85,10 @@
   // Resigns, so that another process need not wait for the lease to expire.
   // Calls `then` when the role is released or was lost.
   void Release(std::function<void()> then);
+  // Resigns in favour of another process, and competes for the role again
+  // later. The hook `lost` follows if the store accepts it. Requires holds()
+  // and !busy().
+  void HandOver(const std::string& successor);
 
  private:
   struct pending_write {
@@ -113,6 +106,7 @@
 
   void ReadLeaderRow();
   void OnLeaderRow(const result<std::optional<store::row>>& found);
+  void Observe(const result<std::optional<store::row>>& found);
   void TakeOver(uint64_t version);
   void StartWrite(leader_row row,
                   uint64_t version,
@@ -138,8 +132,10 @@
 
   bool reading_ = false;
   boot_time next_poll_{};
-  bool observing_ = false;  // whether `unchanged_since_` is valid
+  bool ready_ = false;
+  bool observing_ = false;  // whether the two times below are valid
   boot_time unchanged_since_{};
+  boot_time unready_since_{};  // first sight of this epoch, or last ready one
   std::shared_ptr<fenced_writer*> self_;
 };
 
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -20,6 +20,25 @@
 constexpr millis kGreetingTimeout{400};
 constexpr millis kReadRetry{100};
 constexpr millis kOnce{0};
+// Interval between claims, longer than a handover takes.
+constexpr millis kClaimInterval{1'000};
+// The rows of jobs that ended under earlier holders are read when the takeover
+// has settled; only their deletion depends on it.
+constexpr millis kSweepDelay{10'000};
+// Jobs that ended are moved out of the tables that a takeover reads this often,
+// in transactions of at most 100 entries.
+constexpr millis kEndedInterval{250};
+constexpr size_t kMaxEndedPerWrite = 100 / workflow::kEntriesPerEndedJob;
+
+// The prefixes that together cover a table of jobs.
+std::vector<std::string> DigitPrefixes(const std::string& table) {
+  std::vector<std::string> out;
+  for (const char digit : workflow::kJobIdDigits) {
+    out.push_back(table + digit);
+  }
+  return out;
+}
+constexpr millis kSweepRetry{2'000};
 
 }  // namespace
 
@@ -36,9 +55,9 @@
       pacer_(options_.commit_interval),
       pump_timer_(on_) {
   workflow::writer_options writing;
-  writing.name = options_.name;
-  writing.address = options_.address;
-  writing.lease = options_.lease;
+  writing.self = options_.self;
+  writing.succession = options_.succession;
+  writing.poll_interval = options_.poll_interval;
   workflow::fenced_writer::hooks to;
   to.table = hooks_.table;
   to.clock = hooks_.clock;
@@ -47,6 +66,10 @@
   to.lost = [this](const char* why) { OnLost(why); };
   to.other_holder_seen = [this](const workflow::leader_row& row) {
     OnLeader(row);
+    Claim(row);
+  };
+  to.row_unreadable = [this](const reason& why) {
+    hooks_.log("leader_row_unreadable", {{"reason", why.detail}});
   };
   writer_ = std::make_unique<workflow::fenced_writer>(writing, std::move(to));
 }
@@ -56,6 +79,7 @@
     writer_->Tick();
     Pump();
   });
+  RunEvery(on_, kEndedInterval, [this] { WriteEnded(); });
 }
 
 void coordinator_host::AdoptOperatorState() {
@@ -98,78 +122,122 @@
 
 void coordinator_host::OnGained(uint64_t epoch) {
   hooks_.log("coordinator_gained", {{"epoch", std::to_string(epoch)}});
-  leader_ = {epoch, options_.name, options_.address, "", false};
+  leader_ = {};
+  leader_.epoch = epoch;
+  leader_.holder = options_.self.name;
+  leader_.address = options_.self.address;
   auto options = options_.coordinator;
   options.epoch = epoch;
-  options.address = options_.address;
+  options.address = options_.self.address;
   options.log = hooks_.log;
   coordinator_ = std::make_unique<workflow::coordinator>(std::move(options));
   adopted_.reset();
   AdoptOperatorState();
-  recovered_ = false;
+  recovered_ = progress_read_ = jobs_read_ = false;
   progress_.clear();
-  ReadProgress("");
+  unreadable_.clear();
+  waiting_rows_.clear();
+  gained_at_ = hooks_.clock();
+  // Nobody else writes progress now, and jobs are only added, so the two tables
+  // can be read side by side.
+  ReadProgress();
+  FollowJobs();
 }
 
 void coordinator_host::OnLost(const char* why) {
   hooks_.log("coordinator_lost",
              {{"epoch", std::to_string(leader_.epoch)}, {"reason", why}});
   jobs_.reset();
+  progress_scan_.reset();
+  members_.reset();
+  ended_scans_.clear();
+  successor_.reset();
   coordinator_.reset();
   recovered_ = false;
+  if (handed_to_) {
+    leader_.released = true;
+    Greet(std::exchange(handed_to_, std::nullopt)->address);
+  }
 }
 
-void coordinator_host::ReadProgress(const std::string& after) {
-  const uint64_t epoch = leader_.epoch;
-  hooks_.table.page(kProgressPrefix, after, [this, after, epoch](auto page) {
-    if (!coordinator_ || leader_.epoch != epoch) {
-      return;
-    }
-    if (!page) {
-      auto timer = std::make_shared<net::asio::steady_timer>(on_, kReadRetry);
-      timer->async_wait(
-          [this, timer, after, epoch](const boost::system::error_code&) {
-            if (coordinator_ && leader_.epoch == epoch) {
-              ReadProgress(after);
-            }
-          });
-      return;
-    }
-    const std::string_view prefix(kProgressPrefix);
-    for (const auto& row : page->rows) {
-      auto record = workflow::DecodeRecord(row.value);
-      if (!record) {
-        hooks_.log("record_unreadable",
-                   {{"key", row.key}, {"reason", record.last_reason().detail}});
-        continue;
-      }
-      progress_.emplace(row.key.substr(prefix.size()), *std::move(record));
+store::table_scan::hooks coordinator_host::ScanHooks(const char* table) {
+  store::table_scan::hooks to;
+  to.table = hooks_.table;
+  to.after = [this](millis wait, const std::function<void()>& then) {
+    CallAfter(wait, then);
+  };
+  to.lost = [this, table](const reason& why) {
+    hooks_.log("scan_interrupted", {{"table", table}, {"reason", why.code}});
+  };
+  to.regained = [this, table] {
+    hooks_.log("scan_resumed", {{"table", table}});
+  };
+  return to;
+}
+
+void coordinator_host::CallAfter(millis wait,
+                                 const std::function<void()>& then) {
+  auto timer = std::make_shared<net::asio::steady_timer>(on_, wait);
+  timer->async_wait(
+      [timer, then](const boost::system::error_code&) { then(); });
+}
+
+void coordinator_host::ReadProgress() {
+  store::scan_options options;
+  options.prefix = kProgressPrefix;
+  auto to = ScanHooks(kProgressPrefix);
+  to.page = [this](const std::vector<store::row>& rows) { AddProgress(rows); };
+  to.finished = [this](uint64_t) {
+    progress_read_ = true;
+    AddRows(std::exchange(waiting_rows_, {}));
+    if (jobs_read_) {
+      FinishRecovery();
     }
-    if (page->more && !page->rows.empty()) {
-      ReadProgress(page->rows.back().key);
-    } else {
-      FollowJobs();
+  };
+  progress_scan_ = store::table_scan::Make(std::move(options), std::move(to));
+  progress_scan_->Start();
+}
+
+void coordinator_host::AddProgress(const std::vector<store::row>& rows) {
+  const std::string_view prefix(kProgressPrefix);
+  for (const auto& row : rows) {
+    const std::string id = row.key.substr(prefix.size());
+    auto record = workflow::DecodeRecord(row.value);
+    if (record) {
+      progress_.emplace(id, *std::move(record));
+      continue;
     }
-  });
+    // Its tasks may be running or done, so the job must not start again.
+    unreadable_.insert(id);
+    hooks_.log("job_set_aside",
+               {{"job", id}, {"reason", record.last_reason().detail}});
+  }
 }
 
 void coordinator_host::FollowJobs() {
   store::follower_options options;
   options.prefix = kJobPrefix;
+  options.scan_prefixes = DigitPrefixes(kJobPrefix);
   store::table_follower::hooks to;
   to.table = hooks_.table;
   to.after = [this](millis wait, const std::function<void()>& then) {
-    auto timer = std::make_shared<net::asio::steady_timer>(on_, wait);
-    timer->async_wait(
-        [timer, then](const boost::system::error_code&) { then(); });
+    CallAfter(wait, then);
+  };
+  to.scanned = [this](const std::vector<store::row>& rows) {
+    AddRows(rows);
+    jobs_read_ = true;
+    if (progress_read_) {
+      FinishRecovery();
+    }
   };
-  to.scanned = [this](const std::vector<store::row>& rows) { AddRows(rows); };
   to.changed = [this](const std::vector<store::row_change>& changes) {
+    std::vector<store::row> rows;
     for (const auto& change : changes) {
       if (!change.removed) {
-        AddRow(change.now);
+        rows.push_back(change.now);
       }
     }
+    AddRows(rows);
     Pump();
   };
   to.lost = [this](const reason& why) {
@@ -180,20 +248,119 @@
 }
 
 void coordinator_host::AddRows(const std::vector<store::row>& rows) {
+  if (!progress_read_) {
+    waiting_rows_.insert(waiting_rows_.end(), rows.begin(), rows.end());
+    return;
+  }
   for (const auto& row : rows) {
     AddRow(row);
   }
+}
+
+void coordinator_host::FinishRecovery() {
   if (!recovered_) {
     recovered_ = true;
-    progress_.clear();
+    ready_at_ = hooks_.clock();
+    for (const auto& [id, record] : std::exchange(progress_, {})) {
+      coordinator_->AddLeftoverProgress(id);
+    }
+    leader_.ready = true;
+    writer_->SetReady();
     hooks_.log("coordinator_ready",
                {{"epoch", std::to_string(leader_.epoch)},
-                {"jobs", std::to_string(coordinator_->job_count())}});
+                {"jobs", std::to_string(coordinator_->job_count())},
+                {"ms", std::to_string(std::chrono::duration_cast<millis>(
+                                          ready_at_ - gained_at_)
+                                          .count())}});
     GreetMembers();
+    SweepEndedJobs();
   }
   Pump();
 }
 
+void coordinator_host::SweepEndedJobs() {
+  const uint64_t epoch = leader_.epoch;
+  CallAfter(kSweepDelay, [this, epoch] {
+    if (!coordinator_ || leader_.epoch != epoch) {
+      return;
+    }
+    auto to = ScanHooks(kEndedPrefix);
+    to.page = [this](const std::vector<store::row>& rows) {
+      for (const auto& row : rows) {
+        const std::string id = row.key.substr(sizeof(kEndedPrefix) - 1);
+        const auto ended = workflow::DecodeEndedJob(row.value);
+        if (ended) {
+          coordinator_->AddEndedJob(id, *ended, hooks_.clock(),
+                                    hooks_.unix_ms());
+        } else {
+          hooks_.log("ended_job_unreadable",
+                     {{"job", id}, {"reason", ended.last_reason().detail}});
+        }
+      }
+    };
+    to.finished = [](uint64_t) {};
+    for (const auto& prefix : DigitPrefixes(kEndedPrefix)) {
+      store::scan_options options;
+      options.prefix = prefix;
+      options.retry_after = kSweepRetry;
+      ended_scans_.push_back(store::table_scan::Make(std::move(options), to));
+      ended_scans_.back()->Start();
+    }
+  });
+}
+
+void coordinator_host::Claim(const workflow::leader_row& row) {
+  const auto now = hooks_.clock();
+  if (row.released || row.address.empty() ||
+      !workflow::IsFitter(options_.self, row.fitness, options_.succession) ||
+      now - claimed_at_ < kClaimInterval || !hooks_.operators()->catalogue) {
+    return;
+  }
+  claimed_at_ = now;
+  hooks_.log("role_claimed",
+             {{"holder", row.holder},
+              {"holder_fitness", std::to_string(row.fitness)},
+              {"fitness", std::to_string(options_.self.fitness)}});
+  net::asio::spawn(
+      on_,
+      [this, address = row.address](const net::yield& yield) {
+        // An unanswered claim is repeated after a later look at the row.
+        (void)CallPeer(peers_, address, kClaimPath,
+                       workflow::EncodeCandidate(options_.self),
+                       kGreetingTimeout, yield);
+      },
+      net::asio::detached);
+}
+
+void coordinator_host::OnClaim(const workflow::candidate& rival) {
+  if (!writer_->holds() || !coordinator_) {
+    return;
+  }
+  std::optional<millis> ready_for;
+  if (recovered_) {
+    ready_for = std::chrono::duration_cast<millis>(hooks_.clock() - ready_at_);
+  }
+  if (!workflow::ShouldHandOver(rival, options_.self.fitness, ready_for,
+                                options_.succession)) {
+    return;
+  }
+  successor_ = rival;
+  HandOver();
+}
+
+bool coordinator_host::HandOver() {
+  if (!successor_ || !writer_->holds() || writer_->busy()) {
+    return false;
+  }
+  handed_to_ = std::exchange(successor_, std::nullopt);
+  hooks_.log("role_handed_over",
+             {{"successor", handed_to_->name},
+              {"fitness", std::to_string(options_.self.fitness)},
+              {"successor_fitness", std::to_string(handed_to_->fitness)}});
+  writer_->HandOver(handed_to_->name);
+  return true;
+}
+
 void coordinator_host::AddRow(const store::row& in) {
   // A job may be of a queue that has just been configured.
   AdoptOperatorState();
@@ -209,27 +376,34 @@
   if (!job) {
     hooks_.log("job_unreadable",
                {{"job", id}, {"reason", job.last_reason().detail}});
+    progress_.erase(id);
+    return;
+  }
+  if (unreadable_.contains(id)) {
     return;
   }
   std::optional<workflow::job_record> progress;
   if (const auto at = progress_.find(id); at != progress_.end()) {
     progress = std::move(at->second);
+    progress_.erase(at);
   }
   coordinator_->AddJob(id, *job, progress, now, hooks_.unix_ms());
 }
 
 void coordinator_host::GreetMembers() {
-  const uint64_t epoch = leader_.epoch;
-  hooks_.table.page(kMemberPrefix, "", [this, epoch](auto page) {
-    if (!page || leader_.epoch != epoch) {
-      return;  // Members find the coordinator by the leader row as well.
-    }
-    for (const auto& row : page->rows) {
-      if (row.value != options_.address) {
+  store::scan_options options;
+  options.prefix = kMemberPrefix;
+  auto to = ScanHooks(kMemberPrefix);
+  to.page = [this](const std::vector<store::row>& rows) {
+    for (const auto& row : rows) {
+      if (row.value != options_.self.address) {
         Greet(row.value);
       }
     }
-  });
+  };
+  to.finished = [](uint64_t) {};
+  members_ = store::table_scan::Make(std::move(options), std::move(to));
+  members_->Start();
 }
 
 void coordinator_host::Greet(const std::string& address) {
@@ -287,6 +461,9 @@
   }
   const auto now = hooks_.clock();
   SendOrders();
+  if (HandOver()) {
+    return;
+  }
   if (!writer_->holds() || writer_->busy()) {
     return;
   }
@@ -308,11 +485,7 @@
   pacer_.OnCommit(now);
   std::vector<store::mutation> changes;
   for (auto& row : coordinator_->TakeBatch(now)) {
-    changes.push_back({kProgressPrefix + row.job, row.record});
-    if (!row.record) {
-      changes.push_back({kJobPrefix + row.job, std::nullopt});
-      changes.push_back({kJobPrefix + row.job + kCancelSuffix, std::nullopt});
-    }
+    changes.push_back({kProgressPrefix + row.job, std::move(row.record)});
   }
   writer_->Write(std::move(changes), [this, now](write_status status) {
     if (!coordinator_) {
@@ -331,6 +504,38 @@
   });
 }
 
+void coordinator_host::WriteEnded() {
+  if (!ready() || writing_ended_) {
+    return;
+  }
+  const auto batch = coordinator_->TakeEnded(hooks_.clock(), kMaxEndedPerWrite);
+  if (batch.empty()) {
+    return;
+  }
+  writing_ended_ = true;
+  store::transaction change;
+  for (const auto& [id, ended] : batch.ends) {
+    workflow::AppendEnd(id, ended, change.mutations);
+  }
+  for (const auto& id : batch.forgets) {
+    workflow::AppendForget(id, change.mutations);
+  }
+  hooks_.table.commit(
+      std::move(change), [this, batch, epoch = leader_.epoch](
+                             const store::commit_outcome& outcome) {
+        writing_ended_ = false;
+        if (outcome.status == store::commit_status::kCommitted &&
+            coordinator_ && leader_.epoch == epoch) {
+          coordinator_->OnEndedWritten(batch);
+        } else if (outcome.status != store::commit_status::kCommitted) {
+          // The same jobs are written again in the next round.
+          hooks_.log("ended_not_written",
+                     {{"jobs", std::to_string(batch.ends.size())},
+                      {"reason", outcome.why.detail}});
+        }
+      });
+}
+
 void coordinator_host::SendOrders() {
   for (const auto& next : coordinator_->TakeOrders(hooks_.clock())) {
     Send(next);
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -17,6 +17,7 @@
 #include "chiveglade/observe/event_log.h"
 #include "chiveglade/observe/metrics.h"
 #include "chiveglade/store/table_follower.h"
+#include "chiveglade/store/table_scan.h"
 #include "chiveglade/workflow/coordinator.h"
 #include "chiveglade/workflow/fenced_writer.h"
 #include "commit_pacer.h"
@@ -25,17 +26,16 @@
 
 namespace chiveglade::app {
 
-// Tables of the product's own rows.
-inline constexpr char kJobPrefix[] = "job/";  // accepted jobs, cancellations
-inline constexpr char kProgressPrefix[] = "progress/";
+using workflow::kCancelSuffix;
+using workflow::kEndedPrefix;
+using workflow::kJobPrefix;
+using workflow::kProgressPrefix;
 inline constexpr char kMemberPrefix[] = "member/";  // addresses of processes
-// Ends the key of the row that cancels a job.
-inline constexpr char kCancelSuffix[] = ".cancel";
 
 struct coordinator_host_options {
-  std::string name;
-  std::string address;  // of this process, for peers
-  millis lease{1'400};
+  workflow::candidate self;  // its address is that for peers
+  workflow::succession_options succession;
+  millis poll_interval{300};  // of the leader row, without the role
   millis commit_interval{15};
   workflow::coordinator_options coordinator;
 };
@@ -70,8 +70,10 @@
   bool ready() const { return coordinator_ && recovered_; }
   // The newest holder known, perhaps this process; epoch 0: none.
   const workflow::leader_row& leader() const { return leader_; }
-  // Another holder announced itself.
+  // Another holder announced itself, or this process was named its successor.
   void OnLeader(const workflow::leader_row& row);
+  // Another process asks for the role.
+  void OnClaim(const workflow::candidate& rival);
 
   // Only while ready.
   workflow::report_reply OnReport(const workflow::report& in);
@@ -86,15 +88,26 @@
   void AdoptOperatorState();
   void OnGained(uint64_t epoch);
   void OnLost(const char* why);
-  void ReadProgress(const std::string& after);
+  void ReadProgress();
+  void AddProgress(const std::vector<store::row>& rows);
   void FollowJobs();
+  // Adds jobs and cancellations, or keeps them until all progress is read.
   void AddRows(const std::vector<store::row>& rows);
   void AddRow(const store::row& in);
+  void FinishRecovery();
+  void SweepEndedJobs();
+  // Asks the holder for the role if this process is fitter.
+  void Claim(const workflow::leader_row& row);
+  bool HandOver();
   void GreetMembers();
   void Greet(const std::string& address);
+  store::table_scan::hooks ScanHooks(const char* table);
+  void CallAfter(millis wait, const std::function<void()>& then);
   void Pump();
   void SchedulePump(millis delay);
   void Commit();
+  // Moves jobs to the ended ones. Not urgent, so one write at a time.
+  void WriteEnded();
   void SendOrders();
   void Send(const workflow::coordinator::addressed_orders& next);
 
@@ -106,8 +119,23 @@
   std::unique_ptr<workflow::fenced_writer> writer_;
   std::unique_ptr<workflow::coordinator> coordinator_;
   std::unique_ptr<store::table_follower> jobs_;
-  std::map<std::string, workflow::job_record> progress_;  // while recovering
+  // While recovering. Rows of jobs wait here until all progress is read.
+  std::unique_ptr<store::table_scan> progress_scan_;
+  bool progress_read_ = false;
+  bool jobs_read_ = false;
+  std::map<std::string, workflow::job_record> progress_;
+  std::set<std::string> unreadable_;  // jobs whose progress cannot be decoded
+  std::vector<store::row> waiting_rows_;
+  boot_time gained_at_{};
+
   bool recovered_ = false;
+  boot_time ready_at_{};
+  std::unique_ptr<store::table_scan> members_;
+  std::vector<std::unique_ptr<store::table_scan>> ended_scans_;
+  std::optional<workflow::candidate> successor_;  // handed over to when idle
+  std::optional<workflow::candidate> handed_to_;  // while that is written
+  boot_time claimed_at_{};
+  bool writing_ended_ = false;
   // What `coordinator_` was given last; null: nothing yet.
   std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -38,6 +38,9 @@
 // A coordinator that no runner has reported to for this long is cut off: each
 // reports twice a second.
 constexpr millis kOthersSilent{1'500};
+// Processes that only stand by may be one on each worker's VM, so that some of
+// them looks at the leader row soon although each does so rarely.
+constexpr millis kStandbyPollInterval{1'200};
 
 }  // namespace
 
@@ -131,9 +134,14 @@
     Log(event, fields);
   };
   coordinator_host_options options;
-  options.name = settings.name;
-  options.address = ToString(settings.peer_listen);
-  options.lease = settings.leader_lease;
+  options.self.name = settings.name;
+  options.self.address = ToString(settings.peer_listen);
+  options.self.fitness = workflow::Fitness(
+      settings.processor_share * settings.processor_speed, settings.link_mbps);
+  options.succession.lease = settings.leader_lease;
+  if (!settings.caller_listen) {
+    options.poll_interval = kStandbyPollInterval;
+  }
   options.commit_interval = settings.commit_interval;
   options.coordinator.lease_duration = settings.run_grant;
   host = std::make_unique<coordinator_host>(
@@ -176,27 +184,31 @@
 }
 
 result<done> gateway_role::parts::Listen() {
-  net::http_server_options limits;
-  limits.max_connections = settings.connections;
-  auto caller_server = net::http_server::Make(
-      loop, settings.caller_listen.ip, settings.caller_listen.port, limits,
-      [this](const net::http_request& request, const net::yield& yield) {
-        return front->Handle(request, yield);
-      });
-  if (!caller_server) {
-    return caller_server.last_reason();
+  if (const auto& at = settings.caller_listen) {
+    net::http_server_options limits;
+    limits.max_connections = settings.connections;
+    auto made = net::http_server::Make(
+        loop, at->ip, at->port, limits,
+        [this](const net::http_request& request, const net::yield& yield) {
+          return front->Handle(request, yield);
+        });
+    if (!made) {
+      return made.last_reason();
+    }
+    callers = *std::move(made);
   }
-  callers = *std::move(caller_server);
-  auto ready_server = net::http_server::Make(
-      loop, settings.ready_listen.ip, settings.ready_listen.port, {},
-      [this](const net::http_request&, const net::yield&) {
-        return IsReady() ? net::http_reply{200, {}, "ready"}
-                         : net::http_reply{503, {}, "not ready"};
-      });
-  if (!ready_server) {
-    return ready_server.last_reason();
+  if (const auto& at = settings.ready_listen) {
+    auto made = net::http_server::Make(
+        loop, at->ip, at->port, {},
+        [this](const net::http_request&, const net::yield&) {
+          return IsReady() ? net::http_reply{200, {}, "ready"}
+                           : net::http_reply{503, {}, "not ready"};
+        });
+    if (!made) {
+      return made.last_reason();
+    }
+    balancer = *std::move(made);
   }
-  balancer = *std::move(ready_server);
   auto peer_server = net::h2_server::Make(
       loop, settings.peer_listen.ip, settings.peer_listen.port, PeerOptions(),
       [this](const net::h2_stream_ptr& stream, const net::yield& yield) {
@@ -262,6 +274,14 @@
     }
     return {200, {}, ""};
   }
+  if (path == kClaimPath) {
+    const auto rival = workflow::DecodeCandidate(body);
+    if (!rival) {
+      return {400, {}, rival.last_reason().detail};
+    }
+    host->OnClaim(*rival);
+    return {200, {}, ""};
+  }
   return {404, {}, ""};
 }
 
@@ -281,7 +301,9 @@
 void gateway_role::parts::StartTimers() {
   host->Start();
   relay->Start();
-  member->Start();
+  if (settings.caller_listen) {
+    member->Start();  // Callers need the coordinator's address at once.
+  }
   monitor->Start();
   operators->Start();
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
@@ -300,10 +322,12 @@
   });
   // Callers are sent here until the balancer has noticed. It is told from the
   // beginning of the stop, so a slow release leaves time to drain.
-  cycle.AddStopDelay("balancer", settings.unready_before_stop);
-  cycle.AddStopStep("callers", [this](std::function<void()> then) {
-    callers->Drain(std::move(then));
-  });
+  if (callers) {
+    cycle.AddStopDelay("balancer", settings.unready_before_stop);
+    cycle.AddStopStep("callers", [this](std::function<void()> then) {
+      callers->Drain(std::move(then));
+    });
+  }
   cycle.AddStopStep("logs", [this](const std::function<void()>& then) {
     Log("stopped", {});
     events.Flush();
@@ -331,9 +355,11 @@
 
 exit_code gateway_role::Run() {
   const auto& settings = parts_->settings;
-  parts_->Log("gateway_started", {{"name", settings.name},
-                                  {"callers", ToString(settings.caller_listen)},
-                                  {"peers", ToString(settings.peer_listen)}});
+  const auto& callers = settings.caller_listen;
+  parts_->Log("gateway_started",
+              {{"name", settings.name},
+               {"callers", callers ? ToString(*callers) : ""},
+               {"peers", ToString(settings.peer_listen)}});
   lifecycle cycle(parts_->loop, settings.shutdown_grace);
   cycle.OnReload([this] {
     // All settings are addresses and limits of this life of the process.
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -253,9 +253,8 @@
                                     {"reason", ToString(Access())}});
     return Refuse(503, "store_away", "the store is out of reach at present");
   }
-  const std::string key = kJobPrefix + in.id;
-  const store::transaction change{
-      {{key, 0}}, {{key, workflow::EncodeSubmission(accepted)}}};
+  const auto change =
+      workflow::AcceptJob(in.id, workflow::EncodeSubmission(accepted));
   const auto until =
       in.began + std::min(in.time_left - kAnswerMargin, kMaxSubmitTime);
   const auto refuse_at = in.began + in.queue.latency_target / kTargetShare;
@@ -315,16 +314,27 @@
   const std::string key = kJobPrefix + in.id;
   for (;;) {
     const auto row = Read(key, yield);
-    if (row && !*row) {
-      return Refuse(410, "no_job", "no such job exists");
-    }
-    if (row) {
-      const auto outcome =
-          Commit({{}, {{key + kCancelSuffix, "cancelled"}}}, yield);
+    if (row && *row) {
+      // Only while the job is live: once it has ended, nobody would look at the
+      // row of the cancellation.
+      const auto outcome = Commit(
+          {{{key, (*row)->version}}, {{key + kCancelSuffix, "cancelled"}}},
+          yield);
       if (outcome.status == commit_status::kCommitted) {
         hooks_.log("job_cancelled", {{"job", in.id}});
         return Json(200, "{}");
       }
+      if (outcome.status == commit_status::kConflict) {
+        continue;  // It has ended meanwhile.
+      }
+    } else if (row) {
+      const auto ended = ReadEnded(in.id, yield);
+      if (ended && *ended) {
+        return Json(200, "{}");  // There is nothing left to cancel.
+      }
+      if (ended) {
+        return Refuse(410, "no_job", "no such job exists");
+      }
     }
     if (hooks_.clock() >= until) {
       return net::MakeRefusal(504, verdict::kMayHaveRun, "store_unknown",
@@ -399,12 +409,16 @@
 
 result<job_front::phase_or_none> job_front::ReadPhase(const std::string& id,
                                                       const net::yield& yield) {
+  // Most jobs that the coordinator does not know have ended.
+  if (auto ended = ReadEnded(id, yield); !ended || *ended) {
+    return ended;
+  }
   const auto job = Read(kJobPrefix + id, yield);
   if (!job) {
     return job.last_reason();
   }
   if (!*job) {
-    return phase_or_none();
+    return ReadEnded(id, yield);  // It may have ended since the first read.
   }
   const auto accepted = workflow::DecodeSubmission((*job)->value);
   const auto progress = Read(kProgressPrefix + id, yield);
@@ -421,6 +435,11 @@
       return phase_or_none(phase);
     }
   }
+  if (!*progress) {
+    if (auto ended = ReadEnded(id, yield); !ended || *ended) {
+      return ended;
+    }
+  }
   const auto cancelled = Read(kJobPrefix + id + kCancelSuffix, yield);
   if (!cancelled) {
     return cancelled.last_reason();
@@ -431,6 +450,22 @@
   return phase_or_none(*progress ? job_phase::kRunning : job_phase::kQueued);
 }
 
+result<job_front::phase_or_none> job_front::ReadEnded(const std::string& id,
+                                                      const net::yield& yield) {
+  const auto row = Read(kEndedPrefix + id, yield);
+  if (!row) {
+    return row.last_reason();
+  }
+  if (!*row) {
+    return phase_or_none();
+  }
+  const auto ended = workflow::DecodeEndedJob((*row)->value);
+  if (!ended) {
+    return ended.last_reason();
+  }
+  return phase_or_none(ended->phase);
+}
+
 std::optional<std::string> job_front::PhaseForPeer(
     const std::string& id) const {
   if (!host_.ready()) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -90,6 +90,9 @@
   phase_or_none AskCoordinator(const std::string& id, const net::yield& yield);
   result<phase_or_none> ReadPhase(const std::string& id,
                                   const net::yield& yield);
+  // None if the job is not among the ended ones.
+  result<phase_or_none> ReadEnded(const std::string& id,
+                                  const net::yield& yield);
   result<std::optional<store::row>> Read(const std::string& key,
                                          const net::yield& yield);
   store::commit_outcome Commit(store::transaction change,
--- a/src/app/peer_call.h
+++ b/src/app/peer_call.h
@@ -15,6 +15,7 @@
 inline constexpr char kReportPath[] = "/report";
 inline constexpr char kOrdersPath[] = "/orders";
 inline constexpr char kLeaderPath[] = "/leader";    // a new coordinator
+inline constexpr char kClaimPath[] = "/claim";      // body: a candidate
 inline constexpr char kPhasePath[] = "/phase";      // body: a job's ID
 inline constexpr char kPendingPath[] = "/pending";  // body: a queue's name
 inline constexpr char kStorePath[] = "/store";      // 200 if it is reached
--- a/src/app/store_link.cc
+++ b/src/app/store_link.cc
@@ -40,8 +40,9 @@
   };
   if (inner.page) {
     out.page = [inner, noted](std::string prefix, std::string after,
-                              store::page_callback then) {
-      inner.page(std::move(prefix), std::move(after), noted(std::move(then)));
+                              size_t limit, store::page_callback then) {
+      inner.page(std::move(prefix), std::move(after), limit,
+                 noted(std::move(then)));
     };
   }
   if (inner.watch) {
--- a/src/config/json_reader.cc
+++ b/src/config/json_reader.cc
@@ -214,6 +214,24 @@
   }
 }
 
+void json_reader::Real(const char* key,
+                       double& out,
+                       double min,
+                       double max,
+                       const char* meaning) {
+  const auto show = [](double value) { return nlohmann::json(value).dump(); };
+  const std::string accepted = "number, " + show(min) + " to " + show(max);
+  Describe(key, presence::kOptional, accepted, show(out), meaning);
+  if (const auto* at = Find(key, presence::kOptional, accepted)) {
+    if (!at->is_number() || at->get<double>() < min ||
+        at->get<double>() > max) {
+      Problem(key, accepted);
+      return;
+    }
+    out = at->get<double>();
+  }
+}
+
 void json_reader::Duration(const char* key,
                            millis& out,
                            number_range range,
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -75,6 +75,13 @@
     out = static_cast<T>(wide);
   }
 
+  // A number that may have a fraction, from `min` to `max`. Optional.
+  void Real(const char* key,
+            double& out,
+            double min,
+            double max,
+            const char* meaning);
+
   // A duration; the key ends in _ms and the value is in milliseconds.
   void Duration(const char* key,
                 millis& out,
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -13,6 +13,9 @@
     "an IP address and port such as \"127.0.0.1:8080\"; names are not resolved";
 constexpr int64_t kMaxMillis = 24LL * 60 * 60 * 1000;
 
+constexpr double kMaxProcessorShare = 1'024;
+constexpr double kMaxLinkMbps = 1'000'000;
+
 void ReadEndpoint(json_reader& in,
                   const char* key,
                   endpoint& out,
@@ -29,6 +32,38 @@
   }
 }
 
+void ReadOptionalEndpoint(json_reader& in,
+                          const char* key,
+                          std::optional<endpoint>& out,
+                          const char* meaning) {
+  std::string text;
+  in.Text(key, text, presence::kOptional, meaning);
+  if (text.empty()) {
+    return;
+  }
+  out = ParseEndpoint(text);
+  if (!out) {
+    in.Problem(key, kEndpointText);
+  }
+}
+
+// Moves the port of `out`, for processes that share the ports of a VM.
+void ReadPortOffset(json_reader& in,
+                    const char* key,
+                    endpoint& out,
+                    const char* meaning) {
+  constexpr int64_t kMaxOffset = 1'000;
+  int offset = 0;
+  in.Number(key, offset, {-kMaxOffset, kMaxOffset}, presence::kOptional,
+            meaning);
+  const int port = out.port + offset;
+  if (port < 1 || port > UINT16_MAX) {
+    in.Problem(key, "an offset that leads to a port from 1 to 65535");
+    return;
+  }
+  out.port = static_cast<uint16_t>(port);
+}
+
 void ReadEndpoints(json_reader& in,
                    const char* key,
                    std::vector<endpoint>& out,
@@ -122,17 +157,31 @@
           "Name of this gateway, unique among those that run at one time.");
   in.Name("data_centre", out.data_centre, presence::kRequired,
           "Data centre that this VM is in.");
-  ReadEndpoint(in, "caller_listen", out.caller_listen,
-               "Where callers hand in jobs and ask for them.");
-  ReadEndpoint(in, "ready_listen", out.ready_listen,
-               "Where the balancer asks whether callers may be sent here.");
+  ReadOptionalEndpoint(in, "caller_listen", out.caller_listen,
+                       "Where callers hand in jobs and ask for them; without "
+                       "it this process only stands by as coordinator.");
+  ReadOptionalEndpoint(
+      in, "ready_listen", out.ready_listen,
+      "Where the balancer asks whether callers may be sent here.");
   ReadEndpoint(in, "peer_listen", out.peer_listen,
                "Where runners and other gateways send messages over HTTP/2.");
   ReadEndpoint(in, "metrics_listen", out.metrics_listen,
                "Where metrics and status are served.");
+  ReadPortOffset(in, "peer_port_offset", out.peer_listen,
+                 "Added to the port of `peer_listen`, where several processes "
+                 "share the ports of a VM.");
+  ReadPortOffset(in, "metrics_port_offset", out.metrics_listen,
+                 "Added to the port of `metrics_listen`.");
   ReadEndpoints(in, "store", out.store, "The platform's store.");
+  in.Real("processor_share", out.processor_share, 0, kMaxProcessorShare,
+          "Share of a processor that this VM has; with speed and link it says "
+          "which gateway is fittest to coordinate. 0: unknown.");
+  in.Real("processor_speed", out.processor_speed, 0, kMaxProcessorShare,
+          "Speed of the processor as a multiple of the usual one.");
+  in.Real("link_mbps", out.link_mbps, 0, kMaxLinkMbps,
+          "Link of this VM, in Mbit/s. 0: unknown.");
   in.Duration("store_timeout_ms", out.store_timeout, {10, 60'000},
-              "Longest wait for one answer of the store.");
+              "Longest wait for progress of one call to the store.");
   in.Duration("commit_interval_ms", out.commit_interval, {1, 1'000},
               "Shortest time between two writes of progress.");
   in.Duration("leader_lease_ms", out.leader_lease, {500, 5'000},
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -91,14 +91,36 @@
   }
 
   http_outcome Send(const http_request& request, yield yield) override {
-    return Send(request, options_.answer_timeout, yield);
+    return SendWithin(
+        request,
+        {options_.answer_timeout,
+         std::max(options_.answer_timeout, options_.total_timeout)},
+        yield);
   }
 
-  // The exchange runs in a coroutine on the strand of its connection, because
-  // the timer of a Beast stream must not run at the same time as its calls.
   http_outcome Send(const http_request& request,
                     millis answer_timeout,
                     yield yield) override {
+    return SendWithin(request, {answer_timeout, answer_timeout}, yield);
+  }
+
+  void Close() override {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    idle_.clear();
+  }
+
+ private:
+  struct time_limits {
+    millis silence;  // without a byte
+    millis total;
+  };
+
+  // The exchange runs in a coroutine on the strand of its connection, because
+  // the timer of a Beast stream must not run at the same time as its calls.
+  http_outcome SendWithin(const http_request& request,
+                          const time_limits& limits,
+                          yield yield) {
     if (!IsSendable(request)) {
       return {verdict::kNotRun,
               reason{"bad_request", "the request cannot be sent as HTTP/1.1"}};
@@ -114,10 +136,9 @@
           yield, [&](std::function<void(http_outcome)> then) {
             asio::spawn(
                 used->stream.get_executor(),
-                [self, used, fresh, message, answer_timeout,
+                [self, used, fresh, message, limits,
                  then = std::move(then)](const net::yield& inner) {
-                  then(self->Exchange(used, fresh, *message, answer_timeout,
-                                      inner));
+                  then(self->Exchange(used, fresh, *message, limits, inner));
                 },
                 asio::detached);
           });
@@ -127,28 +148,22 @@
     }
   }
 
-  void Close() override {
-    const std::lock_guard lock(mutex_);
-    closed_ = true;
-    idle_.clear();
-  }
-
- private:
   http_outcome Exchange(const connection_ptr& on,
                         bool fresh,
                         const http::request<http::string_body>& message,
-                        millis answer_timeout,
+                        const time_limits& limits,
                         const yield& yield) {
     if (fresh) {
       if (auto connected = Connect(*on, yield); !connected) {
         return {verdict::kNotRun, connected.last_reason()};
       }
     }
-    on->stream.expires_after(answer_timeout);
+    const auto until = steady::now() + limits.total;
     http::request_serializer<http::string_body> out(message);
     beast::error_code error;
     size_t sent = 0;
     while (!error && !out.is_done()) {
+      ExpectProgress(*on, limits, until);
       sent += http::async_write_some(on->stream, out, yield[error]);
     }
     if (error) {
@@ -157,18 +172,29 @@
                   : verdict::kMayHaveRun,
               ToReason("send", error)};
     }
-    return Receive(on, message.method(), yield);
+    return Receive(on, message.method(), limits, until, yield);
+  }
+
+  static void ExpectProgress(connection& on,
+                             const time_limits& limits,
+                             steady::time_point until) {
+    on.stream.expires_at(std::min(steady::now() + limits.silence, until));
   }
 
   http_outcome Receive(const connection_ptr& on,
                        http::verb method,
+                       const time_limits& limits,
+                       steady::time_point until,
                        const yield& yield) {
     http::response_parser<http::string_body> answer;
     answer.header_limit(options_.max_header_bytes);
     answer.body_limit(options_.max_body_bytes);
     answer.skip(method == http::verb::head);
     beast::error_code error;
-    http::async_read(on->stream, on->buffer, answer, yield[error]);
+    while (!error && !answer.is_done()) {
+      ExpectProgress(*on, limits, until);
+      http::async_read_some(on->stream, on->buffer, answer, yield[error]);
+    }
     if (error) {
       return {verdict::kMayHaveRun, ToReason("answer", error)};
     }
--- a/src/store/http_caller.cc
+++ b/src/store/http_caller.cc
@@ -14,6 +14,8 @@
 
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
+// An answer that keeps arriving may take this many times the timeout.
+constexpr int kTotalTimeoutFactor = 8;
 // Larger than any transaction or scan of this project.
 constexpr uint64_t kMaxAnswerBytes = 256UL * 1024 * 1024;
 
@@ -26,6 +28,7 @@
   net::http_client_options out;
   out.connect_timeout = in.connect_timeout;
   out.answer_timeout = in.call_timeout;
+  out.total_timeout = kTotalTimeoutFactor * in.call_timeout;
   out.max_body_bytes = kMaxAnswerBytes;
   out.max_idle_connections = std::max(1U, in.max_in_flight / 4);
   return out;
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -1,6 +1,7 @@
 #include "chiveglade/store/table_follower.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
@@ -10,6 +11,9 @@
                                                      hooks hooks) {
   std::unique_ptr<table_follower> out(
       new table_follower(std::move(options), std::move(hooks)));
+  if (out->options_.scan_prefixes.empty()) {
+    out->options_.scan_prefixes.push_back(out->options_.prefix);
+  }
   out->ScanAll();
   return out;
 }
@@ -21,34 +25,35 @@
 
 void table_follower::ScanAll() {
   scanned_.clear();
-  version_ = 0;
-  Scan("");
-}
-
-void table_follower::Scan(const std::string& after) {
-  hooks_.table.page(options_.prefix, after,
-                    Guard<result<row_page>>(&table_follower::OnPage));
+  scans_.clear();
+  version_ = UINT64_MAX;
+  scans_left_ = options_.scan_prefixes.size();
+  for (const auto& prefix : options_.scan_prefixes) {
+    Scan(prefix);
+  }
 }
 
-void table_follower::OnPage(result<row_page> page) {
-  if (!page) {
-    Retry(page.last_reason(), &table_follower::ScanAll);
-    return;
-  }
-  Succeeded();
-  if (version_ == 0) {
-    // Changes while later pages are read come again by the watch.
-    version_ = page->version;
-  }
-  const std::string last = page->rows.empty() ? "" : page->rows.back().key;
-  std::move(page->rows.begin(), page->rows.end(), std::back_inserter(scanned_));
-  if (page->more && !last.empty()) {
-    Scan(last);
-    return;
-  }
-  const auto rows = std::exchange(scanned_, {});
-  hooks_.scanned(rows);
-  Watch();
+void table_follower::Scan(const std::string& prefix) {
+  scan_options options;
+  options.prefix = prefix;
+  options.retry_after = options_.retry_after;
+  table_scan::hooks to;
+  to.table = hooks_.table;
+  to.after = hooks_.after;
+  to.page = [this](std::vector<row> rows) {
+    std::move(rows.begin(), rows.end(), std::back_inserter(scanned_));
+  };
+  to.finished = [this](uint64_t version) {
+    version_ = std::min(version_, version);
+    if (--scans_left_ == 0) {
+      hooks_.scanned(std::exchange(scanned_, {}));
+      Watch();
+    }
+  };
+  to.lost = [this](const reason& why) { OnLost(why); };
+  to.regained = [this] { OnRegained(); };
+  scans_.push_back(table_scan::Make(std::move(options), std::move(to)));
+  scans_.back()->Start();
 }
 
 void table_follower::Watch() {
@@ -58,10 +63,15 @@
 
 void table_follower::OnChanges(result<row_changes> changes) {
   if (!changes) {
-    Retry(changes.last_reason(), &table_follower::Watch);
+    OnLost(changes.last_reason());
+    hooks_.after(options_.retry_after, [self = std::weak_ptr(self_)] {
+      if (const auto at = self.lock()) {
+        (*at)->Watch();
+      }
+    });
     return;
   }
-  Succeeded();
+  OnRegained();
   if (changes->history_lost) {
     ScanAll();
     return;
@@ -73,27 +83,16 @@
   Watch();
 }
 
-void table_follower::Succeeded() {
-  if (failing_) {
-    failing_ = false;
-    if (hooks_.regained) {
-      hooks_.regained();
-    }
+void table_follower::OnRegained() {
+  if (std::exchange(failing_, false) && hooks_.regained) {
+    hooks_.regained();
   }
 }
 
-void table_follower::Retry(const reason& why, void (table_follower::*call)()) {
-  if (!failing_) {
-    failing_ = true;
-    if (hooks_.lost) {
-      hooks_.lost(why);
-    }
+void table_follower::OnLost(const reason& why) {
+  if (!std::exchange(failing_, true) && hooks_.lost) {
+    hooks_.lost(why);
   }
-  hooks_.after(options_.retry_after, [self = std::weak_ptr(self_), call] {
-    if (const auto at = self.lock()) {
-      ((*at)->*call)();
-    }
-  });
 }
 
 }  // namespace chiveglade::store
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -1,6 +1,8 @@
 #include "chiveglade/workflow/coordinator.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "src/workflow/coordinator_state.h"
 
@@ -8,9 +10,11 @@
 
 namespace {
 
-// Maximum number of jobs in a batch. A transaction holds 100 entries, one of
-// which is the leader row.
-constexpr size_t kMaxBatchJobs = 90;
+// Maximum number of entries of a batch. A transaction holds 100, two of which
+// are the leader row and the condition on it.
+constexpr size_t kMaxBatchEntries = 98;
+// Rows of ended jobs that a batch deletes at most, since that is not urgent.
+constexpr size_t kMaxDeletesPerBatch = 20;
 constexpr size_t kMaxBatchBytes = 600'000;
 // Run time assumed for the tasks of a step without an estimate.
 constexpr millis kDefaultEstimate{1'000};
@@ -84,8 +88,8 @@
                                    boot_time now) {
   job.phase = phase;
   job.ended_at = now;
+  job.ended_unix_ms = unix_ms;
   active.erase(job.id);
-  ended.push_back(job.id);
   placement_order_stale = true;
   MarkDirty(job);
   if (restoring) {
@@ -124,21 +128,30 @@
   FinishJob(job, job_phase::kCompleted, now);
 }
 
-void coordinator::state::DeleteOneExpiredJob(boot_time now) {
-  // The late end of a run may have had a job deleted already.
-  while (!ended.empty() && !jobs.contains(ended.front())) {
-    ended.pop_front();
-  }
-  if (ended.empty()) {
-    return;
+bool coordinator::state::HasLiveRuns(const job_state& job) {
+  for (const auto& steps : job.record.tasks) {
+    for (const auto& tasks : steps) {
+      if (std::any_of(tasks.begin(), tasks.end(), [](const task_record& task) {
+            return !task.live_runs.empty();
+          })) {
+        return true;
+      }
+    }
   }
-  auto& job = *jobs.at(ended.front());
+  return false;
+}
+
+void coordinator::state::ArchiveIfOver(job_state& job) {
   if (IsFinal(job.visible_phase) && !job.dirty && !job.in_batch &&
-      now - job.ended_at > options.ended_job_retention) {
-    // The next batch deletes its rows, three entries of a transaction. At most
-    // one job per batch, since it is not urgent.
-    MarkDirty(job);
-    ended.pop_front();
+      !HasLiveRuns(job)) {
+    archivable.push_back(job.id);
+  }
+}
+
+void coordinator::state::AddEnded(const std::string& id,
+                                  const ended_view& view) {
+  if (ended.emplace(id, view).second) {
+    ended_by_time.emplace(view.ended_at, id);
   }
 }
 
@@ -174,16 +187,16 @@
                          const std::optional<job_record>& progress,
                          boot_time now,
                          int64_t now_unix_ms) {
-  if (state_->jobs.contains(id)) {
+  if (state_->jobs.contains(id) || state_->ended.contains(id)) {
     return;
   }
+  state_->unix_ms = now_unix_ms;
   auto job = std::make_unique<job_state>();
   job->id = id;
   job->in = in;
   job->record = MakeJobRecord(in.job);
   if (progress && progress->tasks.size() == job->record.tasks.size()) {
     job->record = *progress;
-    job->has_record = true;
   }
   job->service = in.service;
   job->priority = in.priority;
@@ -246,6 +259,7 @@
     added.visible_phase = added.phase;
     added.dirty = false;
     state_->dirty.erase(id);
+    state_->ArchiveIfOver(added);
   }
   if (IsFinal(added.phase)) {
     state_->StopJob(added, now);
@@ -264,107 +278,167 @@
   state_->StopJob(*job, now);
 }
 
-std::vector<coordinator::batch_row> coordinator::TakeBatch(boot_time now) {
-  state_->DeleteOneExpiredJob(now);
+void coordinator::AddEndedJob(const std::string& id,
+                              const ended_job& in,
+                              boot_time now,
+                              int64_t now_unix_ms) {
+  const millis age(
+      std::clamp<int64_t>(now_unix_ms - in.ended_unix_ms, 0,
+                          state_->options.ended_job_retention.count()));
+  state_->AddEnded(id, {in.phase, now - age});
+}
+
+std::vector<coordinator::batch_row> coordinator::TakeBatch(boot_time /*now*/) {
   std::vector<batch_row> out;
   size_t bytes = 0;
   state_->batch.clear();
+  state_->batch_runs.clear();
   for (const auto& id : state_->dirty) {
-    if (out.size() >= kMaxBatchJobs || bytes >= kMaxBatchBytes) {
+    if (out.size() >= kMaxBatchEntries || bytes >= kMaxBatchBytes) {
       break;
     }
     auto& job = *state_->jobs.at(id);
     state_->batch.push_back(id);
-    job.in_batch = true;
     job.dirty = false;
+    job.in_batch = true;
     job.batched_phase = job.phase;
-    if (IsFinal(job.visible_phase) && job.has_record &&
-        now - job.ended_at > state_->options.ended_job_retention) {
-      out.push_back({id, std::nullopt});
-      continue;
-    }
     out.push_back({id, EncodeRecord(job.record)});
     bytes += out.back().record->size();
+    if (auto runs = state_->unwritten_runs.extract(id)) {
+      std::move(runs.mapped().begin(), runs.mapped().end(),
+                std::back_inserter(state_->batch_runs));
+    }
   }
   for (const auto& id : state_->batch) {
     state_->dirty.erase(id);
   }
-  state_->batch_has_all_dirty = state_->dirty.empty();
-  const std::set<std::string> in_batch(state_->batch.begin(),
-                                       state_->batch.end());
-  for (auto& [name, vm] : state_->vms) {
-    vm.ends_batched =
-        state_->batch_has_all_dirty ? vm.ends_applied : vm.ends_durable;
-    for (auto& [run, hosted] : vm.runs) {
-      hosted.batched = !hosted.durable && in_batch.contains(run.task.job);
-    }
+  state_->batch_deletes.clear();
+  while (!state_->leftover_progress.empty() && out.size() < kMaxBatchEntries &&
+         state_->batch_deletes.size() < kMaxDeletesPerBatch) {
+    auto next =
+        state_->leftover_progress.extract(state_->leftover_progress.begin());
+    out.push_back({next.value(), std::nullopt});
+    state_->batch_deletes.push_back(std::move(next.value()));
+  }
+  for (const auto& name : state_->vms_with_new_ends) {
+    auto& vm = state_->vms.at(name);
+    vm.ends_batched = state_->dirty.empty() ? vm.ends_applied : vm.ends_durable;
   }
   return out;
 }
 
-void coordinator::OnCommitted(boot_time now) {
+void coordinator::OnCommitted(boot_time /*now*/) {
   for (const auto& id : state_->batch) {
-    auto* job = state_->FindJob(id);
-    if (!job) {
-      continue;
-    }
-    job->in_batch = false;
-    job->has_record = true;
-    job->visible_phase = job->batched_phase;
-    if (IsFinal(job->visible_phase) &&
-        now - job->ended_at > state_->options.ended_job_retention) {
-      state_->dirty.erase(id);
-      state_->jobs.erase(id);
-    }
+    auto& job = *state_->FindJob(id);
+    job.in_batch = false;
+    job.visible_phase = job.batched_phase;
+    state_->ArchiveIfOver(job);
   }
   state_->batch.clear();
-  for (auto& [name, vm] : state_->vms) {
+  state_->batch_deletes.clear();
+  for (const auto& [name, run] : state_->batch_runs) {
+    auto& vm = state_->vms.at(name);
+    if (const auto at = vm.runs.find(run); at != vm.runs.end()) {
+      at->second.durable = true;
+      state_->vms_with_orders.insert(name);
+    }
+  }
+  state_->batch_runs.clear();
+  std::erase_if(state_->vms_with_new_ends, [this](const std::string& name) {
+    auto& vm = state_->vms.at(name);
     if (vm.ends_batched > vm.ends_durable) {
       vm.ends_durable = vm.ends_batched;
       state_->vms_with_orders.insert(name);
     }
-    for (auto& [run, hosted] : vm.runs) {
-      if (hosted.batched) {
-        hosted.batched = false;
-        hosted.durable = true;
-        state_->vms_with_orders.insert(name);
-      }
-    }
-  }
+    return vm.ends_applied <= vm.ends_durable;
+  });
 }
 
 void coordinator::OnNotCommitted() {
   for (const auto& id : state_->batch) {
-    if (auto* job = state_->FindJob(id)) {
-      job->in_batch = false;
-      state_->MarkDirty(*job);
-    }
+    auto& job = *state_->FindJob(id);
+    job.in_batch = false;
+    state_->MarkDirty(job);
   }
   state_->batch.clear();
-  for (auto& [name, vm] : state_->vms) {
+  state_->leftover_progress.insert(state_->batch_deletes.begin(),
+                                   state_->batch_deletes.end());
+  state_->batch_deletes.clear();
+  for (const auto& placed : std::exchange(state_->batch_runs, {})) {
+    state_->unwritten_runs[placed.run.task.job].push_back(placed);
+  }
+  for (const auto& name : state_->vms_with_new_ends) {
+    auto& vm = state_->vms.at(name);
     vm.ends_batched = vm.ends_durable;
-    for (auto& [run, hosted] : vm.runs) {
-      hosted.batched = false;
+  }
+}
+
+coordinator::ended_batch coordinator::TakeEnded(boot_time now,
+                                                size_t max_jobs) const {
+  ended_batch out;
+  for (const auto& id : state_->archivable) {
+    if (out.ends.size() >= max_jobs) {
+      return out;
+    }
+    if (id.front() == state_->archivable.front().front()) {
+      const auto& job = *state_->jobs.at(id);
+      out.ends.emplace(id, ended_job{job.visible_phase, job.ended_unix_ms});
+    }
+  }
+  if (!out.ends.empty()) {
+    return out;
+  }
+  for (const auto& [ended_at, id] : state_->ended_by_time) {
+    if (out.forgets.size() >= max_jobs ||
+        now - ended_at <= state_->options.ended_job_retention) {
+      break;
+    }
+    if (out.forgets.empty() || id.front() == out.forgets.front().front()) {
+      out.forgets.push_back(id);
     }
   }
+  return out;
 }
 
-bool coordinator::HasUncommitted() const {
-  if (!state_->dirty.empty()) {
-    return true;
+void coordinator::OnEndedWritten(const ended_batch& written) {
+  for (const auto& [id, end] : written.ends) {
+    const auto at = state_->jobs.find(id);
+    if (at == state_->jobs.end()) {
+      continue;
+    }
+    state_->AddEnded(id, {end.phase, at->second->ended_at});
+    state_->leftover_progress.insert(id);
+    state_->jobs.erase(at);
+  }
+  std::erase_if(state_->archivable, [&](const std::string& id) {
+    return written.ends.contains(id);
+  });
+  for (const auto& id : written.forgets) {
+    if (const auto at = state_->ended.find(id); at != state_->ended.end()) {
+      state_->ended_by_time.erase({at->second.ended_at, id});
+      state_->ended.erase(at);
+    }
+  }
+}
+
+void coordinator::AddLeftoverProgress(const std::string& id) {
+  if (!state_->jobs.contains(id)) {
+    state_->leftover_progress.insert(id);
   }
-  return std::any_of(
-      state_->vms.begin(), state_->vms.end(), [](const auto& item) {
-        return item.second.ends_applied > item.second.ends_durable;
-      });
+}
+
+bool coordinator::HasUncommitted() const {
+  return !state_->dirty.empty() || !state_->vms_with_new_ends.empty();
 }
 
 std::optional<job_view> coordinator::FindJobView(const std::string& id) const {
-  const auto at = state_->jobs.find(id);
-  if (at == state_->jobs.end()) {
-    return std::nullopt;
+  if (const auto at = state_->jobs.find(id); at != state_->jobs.end()) {
+    return job_view{at->second->visible_phase};
+  }
+  if (const auto at = state_->ended.find(id); at != state_->ended.end()) {
+    return job_view{at->second.phase};
   }
-  return job_view{at->second->visible_phase};
+  return std::nullopt;
 }
 
 size_t coordinator::PendingJobCount(const std::string& queue) const {
@@ -391,6 +465,7 @@
 }
 
 void coordinator::Tick(boot_time now, int64_t now_unix_ms) {
+  state_->unix_ms = now_unix_ms;
   state_->ExpireVms(now);
   const bool check = now - state_->runs_checked_at >= kRunCheckInterval;
   if (check) {
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -392,6 +392,7 @@
   hosted.placed_at = now;
   hosted.last_progress_at = now;
   AddRun(vm, {key, run}, hosted);
+  unwritten_runs[key.job].push_back({vm.name, {key, run}});
   if (!job.record.ever_started) {
     job.record.ever_started = true;
     job.phase = job_phase::kRunning;
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -22,7 +22,6 @@
   const step_spec* step = nullptr;  // null if the job is not known
   int64_t worker_incarnation = 0;
   bool durable = false;   // the placement is committed
-  bool batched = false;   // the placement is in the current batch
   bool started = false;   // was in the worker's list
   bool stopping = false;  // a stop was decided
   boot_time placed_at{};
@@ -103,14 +102,26 @@
   // have not, as of the last pass.
   bool yields = false;
   boot_time ended_at{};
-  bool dirty = false;       // has progress to write
-  bool in_batch = false;    // is in the current batch
-  bool has_record = false;  // a progress row is stored
+  bool dirty = false;     // has progress to write
+  bool in_batch = false;  // is in the current batch
+  int64_t ended_unix_ms = 0;
   // Number of done tasks by occurrence and step.
   std::vector<std::vector<uint32_t>> done_task_counts;
   std::vector<boot_time> retry_at;  // by step: earliest next start
 };
 
+// A run and the VM that it is placed on.
+struct placed_key {
+  std::string vm;
+  run_key run;
+};
+
+// A job without rows among the live ones.
+struct ended_view {
+  job_phase phase = job_phase::kCompleted;
+  boot_time ended_at{};
+};
+
 struct coordinator::state {
   coordinator_options options;
   catalogue current_catalogue;
@@ -118,8 +129,9 @@
   std::set<std::string> out_of_service;
   std::map<std::string, std::unique_ptr<job_state>> jobs;
   std::set<std::string> active;  // ids of jobs without a final phase
-  std::deque<std::string>
-      ended;  // ids of the others, in the order of their end
+  std::map<std::string, ended_view> ended;
+  // Keys of `ended` by the time of their end.
+  std::set<std::pair<boot_time, std::string>> ended_by_time;
   // Active jobs in the order of placement.
   std::vector<job_state*> placement_order;
   bool placement_order_stale = true;
@@ -129,7 +141,18 @@
   boot_time runs_checked_at{};     // last check for hung runs
   std::set<std::string> dirty;     // ids of jobs with progress to write
   std::vector<std::string> batch;  // ids of the jobs in the current batch
-  bool batch_has_all_dirty = false;
+  // Rows of progress to delete, and those that the current batch deletes.
+  std::set<std::string> leftover_progress;
+  std::vector<std::string> batch_deletes;
+  // Jobs that can be moved to the ended ones, in the order of their end.
+  std::deque<std::string> archivable;
+  // Placements that are not durable: by job those to write, and those in the
+  // current batch.
+  std::map<std::string, std::vector<placed_key>> unwritten_runs;
+  std::vector<placed_key> batch_runs;
+  // VMs with applied ends that are not durable.
+  std::set<std::string> vms_with_new_ends;
+  int64_t unix_ms = 0;     // as of the last Tick
   bool restoring = false;  // stored progress is loaded; log no job ends
   std::map<std::string, vm_state> vms;
   std::set<std::string> vms_with_orders;  // VMs with orders to send
@@ -147,7 +170,11 @@
   void FinishJob(job_state& job, job_phase phase, boot_time now);
   void StopJob(job_state& job, boot_time now);
   void FinishIfComplete(job_state& job, boot_time now);
-  void DeleteOneExpiredJob(boot_time now);
+  // Returns true if a run of the job is not known to have ended.
+  static bool HasLiveRuns(const job_state& job);
+  // Lets the job be moved to the ended ones if nothing of it can change.
+  void ArchiveIfOver(job_state& job);
+  void AddEnded(const std::string& id, const ended_view& view);
 
   // Runs.
   void AddRun(vm_state& vm, const run_key& run, hosted_run hosted);
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -117,6 +117,7 @@
       continue;
     }
     vm.ends_applied = end.number;
+    vms_with_new_ends.insert(vm.name);
     const auto hosted = vm.runs.find(end.run);
     if (hosted != vm.runs.end() &&
         hosted->second.worker_incarnation == in.worker_incarnation) {
--- a/src/workflow/fenced_writer.cc
+++ b/src/workflow/fenced_writer.cc
@@ -1,43 +1,11 @@
 #include "chiveglade/workflow/fenced_writer.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
-#include "src/state/cbor.h"
-
 namespace chiveglade::workflow {
 
-namespace {
-
-// Interval at which a process without the role reads the leader row. A fifth of
-// the default lease.
-constexpr millis kPollInterval{300};
-
-}  // namespace
-
-std::string EncodeLeaderRow(const leader_row& in) {
-  return state::WriteCbor(
-      state::Row(in.epoch, in.holder, in.address, in.nonce, in.released));
-}
-
-result<leader_row> DecodeLeaderRow(const std::string& text) {
-  auto parsed = state::ParseCborArray(text, "the leader row");
-  if (!parsed) {
-    return parsed.last_reason();
-  }
-  state::cbor_reader in(*parsed);
-  leader_row out;
-  out.epoch = in.Int<uint64_t>();
-  out.holder = in.Text();
-  out.address = in.Text();
-  out.nonce = in.Text();
-  out.released = in.Bool();
-  if (!in.Finished()) {
-    return reason{"corrupt", "the leader row has the wrong fields"};
-  }
-  return out;
-}
-
 fenced_writer::fenced_writer(writer_options options, hooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
@@ -62,7 +30,7 @@
     return;
   }
   if (!releasing_ && now >= next_poll_ && !reading_) {
-    next_poll_ = now + kPollInterval;
+    next_poll_ = now + options_.poll_interval;
     ReadLeaderRow();
   }
 }
@@ -90,33 +58,59 @@
     observing_ = false;
     return;
   }
+  Observe(found);
+  const auto now = hooks_.clock();
+  const auto age = [now](boot_time since) {
+    return std::chrono::duration_cast<millis>(now - since);
+  };
+  leader_observation seen;
+  if (*found) {
+    seen = {row_, age(unchanged_since_), age(unready_since_)};
+  }
+  if (MayTakeOver(options_.self, seen, options_.succession)) {
+    TakeOver(version_);
+  } else if (hooks_.other_holder_seen) {
+    hooks_.other_holder_seen(row_);
+  }
+}
+
+void fenced_writer::Observe(const result<std::optional<store::row>>& found) {
   const auto now = hooks_.clock();
   const uint64_t version = *found ? (*found)->version : 0;
+  const uint64_t epoch_before = row_.epoch;
   if (*found) {
     if (auto row = DecodeLeaderRow((*found)->value)) {
       row_ = *std::move(row);
+    } else {
+      // The version is above every epoch, since each takeover raises both.
+      row_ = {};
+      row_.epoch = std::max(epoch_before, version);
+      row_.ready = true;
+      if (hooks_.row_unreadable) {
+        hooks_.row_unreadable(row.last_reason());
+      }
     }
   }
   if (!observing_ || version != version_) {
-    observing_ = true;
-    version_ = version;
     unchanged_since_ = now;
   }
-  if (version == 0 || row_.released || row_.holder == options_.name ||
-      now - unchanged_since_ >= options_.lease) {
-    TakeOver(version);
-    return;
-  }
-  if (hooks_.other_holder_seen) {
-    hooks_.other_holder_seen(row_);
+  if (!observing_ || row_.epoch != epoch_before || row_.ready) {
+    unready_since_ = now;
   }
+  observing_ = true;
+  version_ = version;
 }
 
 void fenced_writer::TakeOver(uint64_t version) {
   leader_row row;
   row.epoch = row_.epoch + 1;
+  const bool was_cut_short = version != 0 && !row_.ready && !row_.released;
+  row.failed_takeovers = was_cut_short ? row_.failed_takeovers + 1 : 0;
+  ready_ = false;
   StartWrite(row, version, {}, [this](write_status status) {
-    observing_ = false;
+    // After a conflict the observation goes on, or a holder that keeps renewing
+    // would restart it with every lost race.
+    observing_ = observing_ && status == write_status::kFenced;
     if (status == write_status::kCommitted) {
       holds_ = true;
       if (!releasing_) {
@@ -131,6 +125,7 @@
   assert(holds_ && !busy());
   leader_row row;
   row.epoch = row_.epoch;
+  row.failed_takeovers = ready_ ? 0 : row_.failed_takeovers;
   StartWrite(row, version_, std::move(changes), std::move(then));
 }
 
@@ -146,6 +141,19 @@
   }
 }
 
+void fenced_writer::HandOver(const std::string& successor) {
+  assert(holds_ && !busy());
+  leader_row row;
+  row.epoch = row_.epoch;
+  row.released = true;
+  row.successor = successor;
+  StartWrite(row, version_, {}, [this](write_status status) {
+    if (status == write_status::kCommitted) {
+      LoseRole("handed over");
+    }
+  });
+}
+
 void fenced_writer::WriteRelease() {
   leader_row row;
   row.epoch = row_.epoch;
@@ -157,9 +165,11 @@
                                uint64_t version,
                                std::vector<store::mutation> changes,
                                std::function<void(write_status)> then) {
-  row.holder = options_.name;
-  row.address = options_.address;
-  row.nonce = options_.name + "-" + std::to_string(hooks_.random());
+  row.holder = options_.self.name;
+  row.address = options_.self.address;
+  row.fitness = options_.self.fitness;
+  row.ready = ready_;
+  row.nonce = options_.self.name + "-" + std::to_string(hooks_.random());
   pending_write next;
   next.change.conditions = {{kLeaderKey, version}};
   next.change.mutations = std::move(changes);
@@ -265,6 +275,7 @@
 
 void fenced_writer::LoseRole(const char* why) {
   holds_ = false;
+  ready_ = false;
   observing_ = false;
   next_poll_ = {};
   hooks_.lost(why);
--- /dev/null
+++ b/src/workflow/job_rows.cc
@@ -0,0 +1,46 @@
+#include "chiveglade/workflow/job_rows.h"
+
+#include <utility>
+
+#include "src/state/cbor.h"
+
+namespace chiveglade::workflow {
+
+std::string EncodeEndedJob(const ended_job& in) {
+  return state::WriteCbor(
+      state::Row(static_cast<int>(in.phase), in.ended_unix_ms));
+}
+
+result<ended_job> DecodeEndedJob(std::string_view bytes) {
+  auto parsed = state::ParseCborArray(bytes, "the ended job");
+  if (!parsed) {
+    return parsed.last_reason();
+  }
+  state::cbor_reader in(*parsed);
+  ended_job out;
+  out.phase = in.Enum(job_phase::kCancelled);
+  out.ended_unix_ms = in.Int<int64_t>();
+  if (!in.Finished() || !IsFinal(out.phase)) {
+    return reason{"corrupt", "the ended job has the wrong fields"};
+  }
+  return out;
+}
+
+void AppendEnd(const std::string& id,
+               const ended_job& in,
+               std::vector<store::mutation>& out) {
+  out.push_back({kEndedPrefix + id, EncodeEndedJob(in)});
+  out.push_back({kJobPrefix + id, std::nullopt});
+  out.push_back({kJobPrefix + id + kCancelSuffix, std::nullopt});
+}
+
+void AppendForget(const std::string& id, std::vector<store::mutation>& out) {
+  out.push_back({kEndedPrefix + id, std::nullopt});
+}
+
+store::transaction AcceptJob(const std::string& id, std::string submission) {
+  const std::string key = kJobPrefix + id;
+  return {{{key, 0}, {kEndedPrefix + id, 0}}, {{key, std::move(submission)}}};
+}
+
+}  // namespace chiveglade::workflow
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -189,6 +189,37 @@
   CHECK(world.Send("GET", target).body == R"({"state":"cancelled"})");
 }
 
+TEST_CASE("an ended job is shown, is not run again and needs no cancelling") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  REQUIRE(world.Submit().status == 200);
+  store::transaction end;
+  workflow::AppendEnd(kId, {workflow::job_phase::kFailed, 5}, end.mutations);
+  world.store.Commit(end);
+  CHECK(world.Send("GET", target).body == R"({"state":"failed"})");
+  CHECK(world.Submit().status == 200);
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+  CHECK(world.Send("DELETE", target).status == 200);
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId + kCancelSuffix));
+}
+
+// The job ends between the read of its row and the write of the cancellation.
+TEST_CASE("a cancellation that meets the end of its job leaves nothing") {
+  front_world world;
+  REQUIRE(world.Submit().status == 200);
+  world.store.SetFaults([&](const std::string& call, const std::string&) {
+    if (call == "commit") {
+      store::transaction end;
+      workflow::AppendEnd(kId, {workflow::job_phase::kCompleted, 5},
+                          end.mutations);
+      world.store.Commit(end);
+    }
+    return store_fault::kNone;
+  });
+  CHECK(world.Send("DELETE", std::string("/jobs/") + kId).status == 200);
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId + kCancelSuffix));
+}
+
 TEST_CASE("a state that cannot be read is not made up") {
   front_world world;
   REQUIRE(world.Submit().status == 200);
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -71,6 +71,7 @@
   void Step();
   void StepGateway(gateway& on);
   void StepRunner(runner& on);
+  void WriteEnded(gateway& on);
   void Recover(gateway& on, uint64_t epoch);
   void LoadJobs(gateway& on);
   void DeliverReport(size_t from, const std::string& bytes, boot_time sent);
