Wait longer for a slow store, and read before a write is repeated

Cause: a write took about 364 ms and more where another was before it in its part, but was given up after 600 ms and sent again, up to three times by each gateway and again by the gateways that callers tried next. The copies queued in the parts until the store refused writes (429).

A gateway whose write was not answered reads the job's row before it writes again, and answers 200 if the row is there.

--- a/include/chiveglade/net/http_client.h
+++ b/include/chiveglade/net/http_client.h
@@ -17,11 +17,7 @@
 // Limits of one client.
 struct http_client_options {
   millis connect_timeout{1'000};
-  // Longest time without a byte sent or received, from the first byte sent to
-  // the end of the answer: a large answer over a slow link takes long.
-  millis answer_timeout{5'000};
-  // Longest time for the whole exchange; zero: `answer_timeout`.
-  millis total_timeout{0};
+  millis answer_timeout{5'000};  // from the first byte sent to the answer
   uint32_t max_header_bytes = 16 * 1024;
   uint64_t max_body_bytes = 64UL * 1024 * 1024;  // of one answer
   uint32_t max_idle_connections = 8;             // kept for the next requests
@@ -32,6 +28,14 @@
                          const http_client_options&) = default;
 };
 
+// Limits of the time of one exchange, without connecting.
+struct http_time_limits {
+  millis silence{0};  // longest time without a byte sent or received
+  millis total{0};    // from the first byte sent to the end of the answer
+  friend bool operator==(const http_time_limits&,
+                         const http_time_limits&) = default;
+};
+
 // How one exchange ended. `delivery` is kRan if and only if the whole answer
 // arrived, whatever its status; kNotRun if no byte of the request was handed to
 // a connection; otherwise kMayHaveRun.
@@ -56,10 +60,9 @@
   // options.
   virtual http_outcome Send(const http_request& request, yield yield) = 0;
 
-  // The same with another limit for sending the whole request and receiving the
-  // whole answer; connecting has its own.
+  // The same with other limits of the exchange.
   virtual http_outcome Send(const http_request& request,
-                            millis answer_timeout,
+                            const http_time_limits& limits,
                             yield yield) = 0;
 
   // Closes the kept connections. Exchanges in progress end normally and close
--- a/include/chiveglade/store/http_store_options.h
+++ b/include/chiveglade/store/http_store_options.h
@@ -25,6 +25,8 @@
   // Longest time without progress of a call. A large answer that arrives
   // steadily over a slow link may take several times as long.
   millis call_timeout{3'000};
+  // The same while the store answers slowly; zero: `call_timeout`.
+  millis slow_call_timeout{0};
   // An endpoint that could not be connected to is skipped for this long, unless
   // all are.
   millis skip_after_refusal{1'000};
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -261,21 +261,28 @@
   bool may_be_stored = false;
   for (;;) {
     const auto outcome = Commit(change, yield);
+    bool is_stored = outcome.status == commit_status::kCommitted ||
+                     outcome.status == commit_status::kConflict;
+    if (outcome.status == commit_status::kUnknown) {
+      may_be_stored = true;
+      // A read tells whether the write was only slow, without queueing a copy
+      // behind it.
+      const auto row = Read(kJobPrefix + in.id, yield);
+      is_stored = row && *row;
+    }
     const auto now = hooks_.clock();
-    if (outcome.status == commit_status::kCommitted ||
-        outcome.status == commit_status::kConflict) {
+    if (is_stored) {
       hooks_.log(
           "job_accepted",
           {{"job", in.id},
            {"queue", in.queue.name},
            {"repeated",
-            outcome.status == commit_status::kConflict ? "yes" : "no"},
+            outcome.status == commit_status::kCommitted ? "no" : "yes"},
            {"ms",
             std::to_string(
                 std::chrono::duration_cast<millis>(now - in.began).count())}});
       return Json(200, platform::EncodePhase(job_phase::kQueued));
     }
-    may_be_stored = may_be_stored || outcome.status == commit_status::kUnknown;
     if (now >= until || (!may_be_stored && now >= refuse_at)) {
       hooks_.log("job_not_accepted",
                  {{"job", in.id},
--- a/src/app/store_options.cc
+++ b/src/app/store_options.cc
@@ -1,7 +1,16 @@
 #include "store_options.h"
 
+#include <algorithm>
+
 namespace chiveglade::app {
 
+namespace {
+
+// Half of what callers usually wait, so that a second try is left.
+constexpr millis kSlowStoreTimeout{1'500};
+
+}  // namespace
+
 store::http_store_options StoreOptions(
     const std::vector<config::endpoint>& endpoints,
     millis timeout) {
@@ -10,6 +19,7 @@
     options.endpoints.push_back({at.ip, at.port});
   }
   options.call_timeout = timeout;
+  options.slow_call_timeout = std::max(timeout, kSlowStoreTimeout);
   return options;
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -91,36 +91,15 @@
   }
 
   http_outcome Send(const http_request& request, yield yield) override {
-    return SendWithin(
-        request,
-        {options_.answer_timeout,
-         std::max(options_.answer_timeout, options_.total_timeout)},
-        yield);
+    return Send(request, {options_.answer_timeout, options_.answer_timeout},
+                yield);
   }
 
-  http_outcome Send(const http_request& request,
-                    millis answer_timeout,
-                    yield yield) override {
-    return SendWithin(request, {answer_timeout, answer_timeout}, yield);
-  }
-
-  void Close() override {
-    const std::lock_guard lock(mutex_);
-    closed_ = true;
-    idle_.clear();
-  }
-
- private:
-  struct time_limits {
-    millis silence;  // without a byte
-    millis total;
-  };
-
   // The exchange runs in a coroutine on the strand of its connection, because
   // the timer of a Beast stream must not run at the same time as its calls.
-  http_outcome SendWithin(const http_request& request,
-                          const time_limits& limits,
-                          yield yield) {
+  http_outcome Send(const http_request& request,
+                    const http_time_limits& limits,
+                    yield yield) override {
     if (!IsSendable(request)) {
       return {verdict::kNotRun,
               reason{"bad_request", "the request cannot be sent as HTTP/1.1"}};
@@ -148,10 +127,17 @@
     }
   }
 
+  void Close() override {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    idle_.clear();
+  }
+
+ private:
   http_outcome Exchange(const connection_ptr& on,
                         bool fresh,
                         const http::request<http::string_body>& message,
-                        const time_limits& limits,
+                        const http_time_limits& limits,
                         const yield& yield) {
     if (fresh) {
       if (auto connected = Connect(*on, yield); !connected) {
@@ -176,14 +162,14 @@
   }
 
   static void ExpectProgress(connection& on,
-                             const time_limits& limits,
+                             const http_time_limits& limits,
                              steady::time_point until) {
     on.stream.expires_at(std::min(steady::now() + limits.silence, until));
   }
 
   http_outcome Receive(const connection_ptr& on,
                        http::verb method,
-                       const time_limits& limits,
+                       const http_time_limits& limits,
                        steady::time_point until,
                        const yield& yield) {
     http::response_parser<http::string_body> answer;
--- a/src/store/http_caller.cc
+++ b/src/store/http_caller.cc
@@ -27,8 +27,6 @@
 net::http_client_options ClientOptions(const http_store_options& in) {
   net::http_client_options out;
   out.connect_timeout = in.connect_timeout;
-  out.answer_timeout = in.call_timeout;
-  out.total_timeout = kTotalTimeoutFactor * in.call_timeout;
   out.max_body_bytes = kMaxAnswerBytes;
   out.max_idle_connections = std::max(1U, in.max_in_flight / 4);
   return out;
@@ -50,7 +48,10 @@
 http_caller::http_caller(asio::io_context& loop,
                          asio::any_io_executor callbacks,
                          const http_store_options& options)
-    : loop_(loop), callbacks_(std::move(callbacks)), options_(options) {
+    : loop_(loop),
+      callbacks_(std::move(callbacks)),
+      options_(options),
+      patience_(options.call_timeout, options.slow_call_timeout) {
   for (const auto& [ip, port] : options.endpoints) {
     endpoints_.push_back(
         {net::http_client::Make(loop, ip, port, ClientOptions(options)), {}});
@@ -81,11 +82,32 @@
   Post({verdict::kNotRun, why}, std::move(then));
 }
 
+net::http_outcome http_caller::Send(net::http_client& client,
+                                    const net::http_request& request,
+                                    const net::yield& yield) {
+  millis timeout;
+  {
+    const std::lock_guard lock(mutex_);
+    timeout = patience_.timeout();
+  }
+  const auto began = steady::now();
+  auto out =
+      client.Send(request, {timeout, kTotalTimeoutFactor * timeout}, yield);
+  const std::lock_guard lock(mutex_);
+  if (out.reply) {
+    patience_.OnAnswer(
+        std::chrono::duration_cast<millis>(steady::now() - began));
+  } else if (out.delivery == verdict::kMayHaveRun) {
+    patience_.OnSilence(timeout);
+  }
+  return out;
+}
+
 net::http_outcome http_caller::Try(const net::http_request& request,
                                    const net::yield& yield) {
   net::http_outcome out;
   for (const size_t index : Order()) {
-    out = endpoints_[index].client->Send(request, yield);
+    out = Send(*endpoints_[index].client, request, yield);
     if (!PassesOn(out)) {
       break;
     }
--- a/src/store/http_caller.h
+++ b/src/store/http_caller.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "chiveglade/net/http_client.h"
+#include "chiveglade/store/call_patience.h"
 #include "chiveglade/store/http_store_options.h"
 
 namespace chiveglade::store {
@@ -42,6 +43,10 @@
               net::asio::any_io_executor callbacks,
               const http_store_options& options);
 
+  // Sends to one endpoint within the present timeout, and learns from it.
+  net::http_outcome Send(net::http_client& client,
+                         const net::http_request& request,
+                         const net::yield& yield);
   net::http_outcome Try(const net::http_request& request,
                         const net::yield& yield);
   // Indexes in the order in which to try them.
@@ -57,6 +62,7 @@
   std::mutex mutex_;  // guards what follows
   uint32_t in_flight_ = 0;
   std::vector<endpoint> endpoints_;
+  call_patience patience_;
 };
 
 // The reason with which reads fail: "store_refused" if the call had no effect,
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -143,15 +143,31 @@
     CHECK_FALSE(net::FindHeader(reply.headers, "retry-after").empty());
     CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
   }
-  SECTION("one write was not answered, the others are refused") {
+  SECTION("one write was not answered, all other calls are refused") {
+    int calls = 0;
+    world.store.SetFaults([&](const std::string&, const std::string&) {
+      return calls++ == 0 ? store_fault::kLoseAnswer : store_fault::kRefuse;
+    });
+    CHECK(world.Submit().status == 504);
+  }
+  SECTION("one write was not carried out yet, the others are refused") {
     int commits = 0;
     world.store.SetFaults([&](const std::string& call, const std::string&) {
       return call != "commit" ? store_fault::kNone
-             : commits++ == 0 ? store_fault::kLoseAnswer
+             : commits++ == 0 ? store_fault::kLoseRequest
                               : store_fault::kRefuse;
     });
     CHECK(world.Submit().status == 504);
   }
+  SECTION("the write was carried out and a read shows it") {
+    int commits = 0;
+    world.store.SetFaults([&](const std::string& call, const std::string&) {
+      return call == "commit" && commits++ == 0 ? store_fault::kLoseAnswer
+                                                : store_fault::kNone;
+    });
+    CHECK(world.Submit().status == 200);
+    CHECK(commits == 1);
+  }
   SECTION("the answer to the first write is lost, the second meets the job") {
     int commits = 0;
     world.store.SetFaults([&](const std::string& call, const std::string&) {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -189,7 +189,7 @@
                                  {asio::ip::address_v4::loopback(), 0});
   const auto client = Connect(runner, silent.local_endpoint().port());
   runner.Run([&](const yield& yield) {
-    const auto outcome = client->Send({}, millis(200), yield);
+    const auto outcome = client->Send({}, {millis(200), millis(200)}, yield);
     CHECK(outcome.delivery == verdict::kMayHaveRun);
     CHECK(outcome.reply.last_reason().code == "answer_timeout");
   });
