--- a/include/chiveglade/workflow/fenced_writer.h
+++ b/include/chiveglade/workflow/fenced_writer.h
@@ -28,6 +28,9 @@
   // Interval at which a process without the role reads the leader row. A fifth
   // of the default lease.
   millis poll_interval{300};
+  // The same while the holder is fitter than this process, which others replace
+  // first.
+  millis idle_poll_interval{300};
   // Maximum time between two writes of the holder.
   millis renewal_interval{400};
   // Delay before the next attempt to resolve a write with an unknown outcome.
@@ -104,6 +107,8 @@
     bool was_ever_unknown = false;
   };
 
+  // Returns when to read the leader row next, given that it was just read.
+  millis PollInterval() const;
   void ReadLeaderRow();
   void OnLeaderRow(const result<std::optional<store::row>>& found);
   void Observe(const result<std::optional<store::row>>& found);
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -58,6 +58,7 @@
   writing.self = options_.self;
   writing.succession = options_.succession;
   writing.poll_interval = options_.poll_interval;
+  writing.idle_poll_interval = options_.idle_poll_interval;
   workflow::fenced_writer::hooks to;
   to.table = hooks_.table;
   to.clock = hooks_.clock;
@@ -122,6 +123,9 @@
 
 void coordinator_host::OnGained(uint64_t epoch) {
   hooks_.log("coordinator_gained", {{"epoch", std::to_string(epoch)}});
+  if (hooks_.gained) {
+    hooks_.gained();
+  }
   leader_ = {};
   leader_.epoch = epoch;
   leader_.holder = options_.self.name;
@@ -313,7 +317,7 @@
   const auto now = hooks_.clock();
   if (row.released || row.address.empty() ||
       !workflow::IsFitter(options_.self, row.fitness, options_.succession) ||
-      now - claimed_at_ < kClaimInterval || !hooks_.operators()->catalogue) {
+      now - claimed_at_ < kClaimInterval) {
     return;
   }
   claimed_at_ = now;
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -35,7 +35,9 @@
 struct coordinator_host_options {
   workflow::candidate self;  // its address is that for peers
   workflow::succession_options succession;
-  millis poll_interval{300};  // of the leader row, without the role
+  // Of the leader row, without the role; see writer_options.
+  millis poll_interval{300};
+  millis idle_poll_interval{300};
   millis commit_interval{15};
   workflow::coordinator_options coordinator;
 };
@@ -52,6 +54,8 @@
     std::function<void(const char*, const observe::log_fields&)> log;
     // The operators' newest settings; never null. Asked before each decision.
     std::function<std::shared_ptr<const operator_state>()> operators;
+    // The role was gained. Optional.
+    std::function<void()> gained;
   };
 
   coordinator_host(strand on,
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -41,6 +41,7 @@
 // Processes that only stand by may be one on each worker's VM, so that some of
 // them looks at the leader row soon although each does so rarely.
 constexpr millis kStandbyPollInterval{1'200};
+constexpr millis kIdlePollInterval{5'000};
 
 }  // namespace
 
@@ -67,6 +68,7 @@
   std::shared_ptr<net::h2_server> runners;
   std::shared_ptr<net::http_server> metrics_page;
   bool stopping = false;
+  bool follows_operators = false;
   // Its thread refers to the parts above.
   std::unique_ptr<operator_feed> operators;
 
@@ -86,6 +88,9 @@
            relay->access() != store_access::kIsolated;
   }
   std::string Status() const;
+  // Starts the feed of the operators' rows. A standby needs it only once it
+  // has held the role.
+  void FollowOperators();
   void StartTimers();
   void AddStopSteps(lifecycle& cycle);
 };
@@ -141,6 +146,7 @@
   options.succession.lease = settings.leader_lease;
   if (!settings.caller_listen) {
     options.poll_interval = kStandbyPollInterval;
+    options.idle_poll_interval = kIdlePollInterval;
   }
   options.commit_interval = settings.commit_interval;
   options.coordinator.lease_duration = settings.run_grant;
@@ -148,7 +154,8 @@
       control, peers, metrics, std::move(options),
       coordinator_host::hooks{table, &boot_clock::now, &UnixMillis,
                               MakeSystemRandom(), log,
-                              [this] { return operators->newest(); }});
+                              [this] { return operators->newest(); },
+                              [this] { FollowOperators(); }});
   relay = std::make_unique<request_relay>(
       control,
       request_relay::hooks{
@@ -298,6 +305,12 @@
       .dump();
 }
 
+void gateway_role::parts::FollowOperators() {
+  if (!std::exchange(follows_operators, true)) {
+    operators->Start();
+  }
+}
+
 void gateway_role::parts::StartTimers() {
   host->Start();
   relay->Start();
@@ -305,7 +318,9 @@
     member->Start();  // Callers need the coordinator's address at once.
   }
   monitor->Start();
-  operators->Start();
+  if (settings.caller_listen) {
+    FollowOperators();
+  }
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
   RunEvery(control, kGaugeInterval, [this] {
     host->UpdateGauges();
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -70,12 +70,18 @@
 }
 
 void coordinator::state::ApplyPolicy(job_state& job) const {
+  millis allowed = CriticalPath(job.in.job);
   if (const auto* policy = FindQueue(current_catalogue, job.in.queue)) {
     job.attempts = std::max(1U, policy->attempts);
     job.priority = policy->priority;
     job.service = policy->service;
     job.needs_tickets = policy->needs_tickets;
+    allowed =
+        policy->latency_target +
+        millis(static_cast<int64_t>(policy->objective_factor *
+                                    static_cast<double>(allowed.count())));
   }
+  job.objective = job.accepted_at + allowed;
 }
 
 void coordinator::state::MarkDirty(job_state& job) {
@@ -201,18 +207,11 @@
   job->service = in.service;
   job->priority = in.priority;
   job->attempts = std::max(1U, in.attempts);
-  state_->ApplyPolicy(*job);
   const millis age(
       std::clamp<int64_t>(now_unix_ms - in.accepted_unix_ms, 0,
                           state_->options.ended_job_retention.count()));
-  millis allowed = CriticalPath(in.job);
-  if (const auto* policy = FindQueue(state_->current_catalogue, in.queue)) {
-    allowed =
-        policy->latency_target +
-        millis(static_cast<int64_t>(policy->objective_factor *
-                                    static_cast<double>(allowed.count())));
-  }
-  job->objective = now - age + allowed;
+  job->accepted_at = now - age;
+  state_->ApplyPolicy(*job);
   job->retry_at.assign(in.job.steps.size(), boot_time{});
   auto& added = *job;
   state_->jobs.emplace(id, std::move(job));
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -97,6 +97,7 @@
   uint32_t priority = 0;
   std::string service;
   bool needs_tickets = false;
+  boot_time accepted_at{};
   boot_time objective{};  // deadline for completion
   // Has missed its objective and is sorted after jobs of the same priority that
   // have not, as of the last pass.
--- a/src/workflow/fenced_writer.cc
+++ b/src/workflow/fenced_writer.cc
@@ -30,11 +30,17 @@
     return;
   }
   if (!releasing_ && now >= next_poll_ && !reading_) {
-    next_poll_ = now + options_.poll_interval;
+    next_poll_ = now + PollInterval();
     ReadLeaderRow();
   }
 }
 
+millis fenced_writer::PollInterval() const {
+  const bool is_settled = observing_ && row_.ready && !row_.released &&
+                          row_.fitness > options_.self.fitness;
+  return is_settled ? options_.idle_poll_interval : options_.poll_interval;
+}
+
 void fenced_writer::ReadLeaderRow() {
   reading_ = true;
   hooks_.table.read(kLeaderKey,
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -39,9 +39,13 @@
     host = std::make_unique<coordinator_host>(
         control, peers, metrics, coordinator_host_options{},
         coordinator_host::hooks{
-            table, [this] { return now; }, [] { return 5; }, [] { return 7; },
+            table,
+            [this] { return now; },
+            [] { return 5; },
+            [] { return 7; },
             [](const char*, const observe::log_fields&) {},
-            [] { return std::make_shared<const operator_state>(); }});
+            [] { return std::make_shared<const operator_state>(); },
+            {}});
     front = std::make_unique<job_front>(
         control, peers, metrics, *host,
         job_front::hooks{
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -506,6 +506,29 @@
   CHECK(starts[0].run.task.job == "late");
 }
 
+// A standby that takes over reads the jobs before the catalogue.
+TEST_CASE("the objective of a job follows a catalogue that comes later") {
+  coordinator_fixture world;
+  coordinator_options options;
+  world.core.emplace(options);
+  auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
+  whole_vm.accepted_unix_ms = world.unix_ms;
+  auto longer = whole_vm;
+  longer.queue = "longer";
+  longer.accepted_unix_ms -= 500;
+  world.AddJob("a", longer);
+  world.AddJob("b", whole_vm);
+  auto catalogue = MakeCatalogue();
+  catalogue.queues.push_back(catalogue.queues.front());
+  catalogue.queues.back().name = "longer";
+  catalogue.queues.back().objective_factor = 10;
+  world.core->SetCatalogue(catalogue);
+  world.ReportRunning("vm", {});
+  const auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run.task.job == "b");
+}
+
 TEST_CASE("a job that has been late for long stops yielding") {
   coordinator_fixture world;
   auto whole_vm = MakeSubmission({MakeStep(1, kVmSize.millicores)});
--- a/tests/workflow/fenced_writer_test.cc
+++ b/tests/workflow/fenced_writer_test.cc
@@ -186,6 +186,33 @@
   }
 }
 
+TEST_CASE("a process that a fitter holder outlasts looks at the row rarely") {
+  writer_world world;
+  world.Pass(millis(1'000));
+  writer_options options;
+  options.self = {"small", "small", 10};
+  options.idle_poll_interval = millis(5'000);
+  fenced_writer::hooks hooks;
+  hooks.table = world.store.table();
+  hooks.clock = [&world] { return world.now; };
+  hooks.random = [] { return 1; };
+  hooks.gained = [](uint64_t) {};
+  hooks.lost = [](const char*) {};
+  int looks = 0;
+  const auto read = hooks.table.read;
+  hooks.table.read = [&](const std::string& key, store::read_callback then) {
+    ++looks;
+    read(key, std::move(then));
+  };
+  fenced_writer small(options, hooks);
+  for (int i = 0; i < 200; ++i) {
+    world.Pass(millis(50));
+    small.Tick();
+  }
+  CHECK(looks <= 4);
+  CHECK_FALSE(small.holds());
+}
+
 TEST_CASE("a leader row that cannot be read is replaced by a higher epoch") {
   writer_world world;
   world.Pass(millis(1'000));
