Delete the progress of ended jobs also while the coordinator is idle

A new test of the coordinator's host found rows of progress that stayed after a takeover: they were deleted with the next batch only, and an idle coordinator writes none. Left-over progress now counts as something to write.

Tests: coordinator_host_test plays a takeover with live, ended and unreadable jobs, and a handover; "a takeover moves what has ended out of the live jobs" failed before.

--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -427,7 +427,8 @@
 }
 
 bool coordinator::HasUncommitted() const {
-  return !state_->dirty.empty() || !state_->vms_with_new_ends.empty();
+  return !state_->dirty.empty() || !state_->vms_with_new_ends.empty() ||
+         !state_->leftover_progress.empty();
 }
 
 std::optional<job_view> coordinator::FindJobView(const std::string& id) const {
--- /dev/null
+++ b/tests/app/coordinator_host_test.cc
@@ -0,0 +1,160 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include "src/app/coordinator_host.h"
+#include "src/app/peer_call.h"
+#include "tests/support/memory_store.h"
+
+namespace chiveglade::app {
+
+namespace {
+
+// A process that can coordinate, with a store and no peers.
+struct host_world {
+  explicit host_world(uint32_t fitness = 100) {
+    auto table = store.table();
+    // The store answers watches at once, so they are slowed down here.
+    const auto watch = table.watch;
+    table.watch = [this, watch](const std::string& prefix, uint64_t version,
+                                millis wait,
+                                const store::watch_callback& then) {
+      auto timer = std::make_shared<net::asio::steady_timer>(control, kBeat);
+      timer->async_wait([=](const boost::system::error_code&) {
+        (void)timer;
+        watch(prefix, version, wait, then);
+      });
+    };
+    coordinator_host_options options;
+    options.self = {"host", "127.0.0.1:1", fitness};
+    options.succession.min_tenure = millis(0);
+    host = std::make_unique<coordinator_host>(
+        control, peers, metrics, std::move(options),
+        coordinator_host::hooks{
+            table,
+            &boot_clock::now,
+            [] { return 5; },
+            [this] { return ++nonce; },
+            [this](const char* event, const observe::log_fields& fields) {
+              lines.push_back(event);
+              for (const auto& [name, value] : fields) {
+                lines.back() += " " + name + "=" + value;
+              }
+            },
+            [this] { return operators; },
+            {}});
+    auto state = std::make_shared<operator_state>();
+    state->catalogue = std::make_shared<workflow::catalogue>();
+    operators = state;
+  }
+
+  void AddJob(const std::string& id) {
+    workflow::submission job;
+    job.queue = "queue";
+    job.job.steps.emplace_back();
+    job.job.steps.back().count = 1;
+    store.Commit(workflow::AcceptJob(id, workflow::EncodeSubmission(job)));
+  }
+
+  void AddProgress(const std::string& id, const std::string& record) {
+    store.Commit({{}, {{kProgressPrefix + id, record}}});
+  }
+
+  std::string Done() {
+    workflow::job_record out;
+    out.ever_started = true;
+    out.tasks.assign(1, {{workflow::task_record{}}});
+    out.tasks[0][0][0].phase = workflow::task_phase::kDone;
+    return workflow::EncodeRecord(out);
+  }
+
+  // Runs until `reached` or for at most five seconds.
+  template <typename Predicate>
+  bool RunUntil(Predicate reached) {
+    constexpr millis kLimit{5'000};
+    for (millis passed{0}; passed < kLimit && !reached(); passed += kBeat) {
+      loop.run_for(kBeat);
+    }
+    return reached();
+  }
+
+  bool Logged(const std::string& start) const {
+    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) {
+      return line.starts_with(start);
+    });
+  }
+
+  workflow::leader_row Leader() const {
+    return *workflow::DecodeLeaderRow(store.Read(workflow::kLeaderKey)->value);
+  }
+
+  static constexpr millis kBeat{20};
+  net::asio::io_context loop;
+  strand control = net::asio::make_strand(loop);
+  peer_pool peers{loop, PeerOptions()};
+  observe::metrics metrics;
+  testing::memory_store store;
+  uint64_t nonce = 0;
+  std::vector<std::string> lines;
+  std::shared_ptr<const operator_state> operators;
+  std::unique_ptr<coordinator_host> host;
+};
+
+}  // namespace
+
+TEST_CASE("a takeover moves what has ended out of the live jobs") {
+  host_world world;
+  world.AddJob("0live");
+  world.AddJob("1done");
+  world.AddProgress("1done", world.Done());
+  world.AddProgress("2gone", world.Done());  // Its job is among the ended ones.
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.RunUntil(
+      [&] { return world.store.Read("ended/1done").has_value(); }));
+  CHECK(world.RunUntil([&] {
+    return !world.store.Read("progress/1done") &&
+           !world.store.Read("progress/2gone");
+  }));
+  CHECK_FALSE(world.store.Read("job/1done"));
+  CHECK(world.store.Read("job/0live"));
+  CHECK(world.host->FindJobView("1done")->phase ==
+        workflow::job_phase::kCompleted);
+  CHECK(world.RunUntil([&] { return world.Leader().ready; }));
+}
+
+// Its tasks may be running or done, so it must not begin from the start.
+TEST_CASE("a job whose progress cannot be read is set aside") {
+  host_world world;
+  world.AddJob("0broken");
+  world.AddProgress("0broken", "not CBOR");
+  world.AddJob("1live");
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.Logged("job_set_aside job=0broken"));
+  CHECK_FALSE(world.host->FindJobView("0broken"));
+  CHECK(world.host->FindJobView("1live"));
+  CHECK(world.store.Read("progress/0broken"));
+}
+
+TEST_CASE("a holder hands over to a fitter process, not to an equal one") {
+  host_world world;
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  world.host->OnClaim({"equal", "127.0.0.1:2", 100});
+  CHECK_FALSE(world.Logged("role_handed_over"));
+  world.host->OnClaim({"fitter", "127.0.0.1:2", 500});
+  REQUIRE(world.RunUntil([&] { return !world.host->ready(); }));
+  CHECK(world.Leader().released);
+  CHECK(world.Leader().successor == "fitter");
+  // The successor is gone, so the role comes back.
+  CHECK(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.Leader().epoch == 2);
+}
+
+}  // namespace chiveglade::app
