Name the swinging VM first in the test of best-effort placement

Of two VMs with the same score the first by name is chosen, so the test passed by accident without the change that it guards. With the swinging VM first it fails without the peak ("a-swinging" == "steady") and passes with it.

--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -510,7 +510,7 @@
 TEST_CASE("best-effort tasks do not fill the trough of a swinging load") {
   coordinator_fixture world;
   world.ReportRunning("steady", {});
-  world.ReportRunning("swinging", {});
+  world.ReportRunning("a-swinging", {});
   auto serving = MakeStep(2);
   serving.long_running = true;
   serving.latency_target = millis(50);
@@ -534,10 +534,10 @@
     world.Report(in);
   };
   report("steady", 15);
-  report("swinging", 45);
+  report("a-swinging", 45);
   world.now += millis(1'000);
   report("steady", 15);
-  report("swinging", 5);
+  report("a-swinging", 5);
   auto batch = MakeStep(1);
   batch.best_effort = true;
   batch.image = "batch";
