--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -43,7 +43,7 @@
             [this](const char* event, const observe::log_fields& fields) {
               lines.push_back(event);
               for (const auto& [name, value] : fields) {
-                lines.back() += " " + name + "=" + value;
+                lines.back().append(" ").append(name).append("=").append(value);
               }
             },
             [this] { return operators; },
