Bound how long a job without progress waits for a fast VM

Cause: a best-effort task starts only where at least 0.7 of its speed is predicted, and waited without limit where no VM promised that. Placement by recent peaks promises less.

Change: of a job with nothing running for a second, one best-effort task starts on the best VM at any predicted speed; the runner there throttles it.

Ruled out: room (reserved was near zero), a takeover (none since 36.8 s).

Test: "a job does not wait for a fast VM without limit" (failed before).

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -45,6 +45,9 @@
   // priority that can still meet theirs. Longer than a burst of a few seconds
   // takes to drain.
   millis late_job_yield_duration{15'000};
+  // How long a job of which nothing runs waits for a VM on which its
+  // best-effort tasks would run fast. Then one of them starts where it can.
+  millis best_effort_patience{1'000};
   // How long the state of an ended job is kept for queries.
   millis ended_job_retention{150'000};
   placement_options placement;
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -211,6 +211,7 @@
       std::clamp<int64_t>(now_unix_ms - in.accepted_unix_ms, 0,
                           state_->options.ended_job_retention.count()));
   job->accepted_at = now - age;
+  job->idle_since = now;
   state_->ApplyPolicy(*job);
   job->retry_at.assign(in.job.steps.size(), boot_time{});
   auto& added = *job;
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -69,6 +69,13 @@
       });
 }
 
+bool coordinator::state::HasWaitedForSpeed(const job_state& job,
+                                           const step_spec& step,
+                                           boot_time now) const {
+  return step.best_effort && job.live_runs == 0 &&
+         now - job.idle_since > options.best_effort_patience;
+}
+
 void coordinator::state::Place(boot_time now, int64_t now_unix_ms) {
   const bool time_passed =
       now - placed_at >= kPlacementInterval ||
@@ -140,16 +147,22 @@
   const auto needs_start = [](const task_record& task) {
     return task.phase == task_phase::kPending && task.live_runs.empty();
   };
+  // A job without any progress takes a slow VM; the runner there throttles it.
+  const bool takes_any_speed = HasWaitedForSpeed(job, spec, pass.now);
   if (std::none_of(tasks.begin(), tasks.end(), needs_start) ||
-      IsKnownNotToFit(pass, job.service, spec)) {
+      (!takes_any_speed && IsKnownNotToFit(pass, job.service, spec))) {
     return;
   }
+  auto limits = options.placement;
+  if (takes_any_speed) {
+    limits.min_best_effort_speed = 0;
+  }
   const auto& candidates = CachedAvailableVms(pass, job.service);
   UpdateLoads(candidates, job, occurrence, step, pass.now);
   std::vector<std::optional<double>> scores;
   scores.reserve(candidates.size());
   for (const auto* vm : candidates) {
-    scores.push_back(ScoreVm(vm->load, spec, interference, options.placement));
+    scores.push_back(ScoreVm(vm->load, spec, interference, limits));
   }
   counters.vms_scored += candidates.size();
   for (uint32_t i = 0; i < tasks.size(); ++i) {
@@ -181,6 +194,10 @@
     const uint32_t same_step = vm.load.same_step + 1;
     Start(job, {job.id, occurrence, step, i}, tasks[i].last_run + 1, vm,
           pass.now);
+    if (takes_any_speed) {
+      vm.load_stale = true;
+      return;  // The others go on waiting for speed.
+    }
     vm.load = ComputeLoad(vm, pass.now);
     vm.load.same_step = same_step;
     scores[*best] = ScoreVm(vm.load, spec, interference, options.placement);
--- a/src/workflow/coordinator_runs.cc
+++ b/src/workflow/coordinator_runs.cc
@@ -44,6 +44,7 @@
                                 hosted_run hosted) {
   if (auto* job = FindJob(run.task.job)) {
     hosted.step = &StepOf(*job, run.task);
+    ++job->live_runs;
     vm.reserved += ReservedBy(*hosted.step);
     vm.best_effort_millicores +=
         hosted.step->best_effort ? hosted.step->demand.millicores : 0;
@@ -88,6 +89,9 @@
   if (!task) {
     return;
   }
+  if (--job->live_runs == 0) {
+    job->idle_since = now;
+  }
   std::erase_if(task->live_runs,
                 [&](const placed_run& live) { return live.run == run.run; });
   MarkDirty(*job);
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -113,6 +113,8 @@
   bool dirty = false;     // has progress to write
   bool in_batch = false;  // is in the current batch
   int64_t ended_unix_ms = 0;
+  uint32_t live_runs = 0;  // of all its tasks
+  boot_time idle_since{};  // while there are none
   // Number of done tasks by occurrence and step.
   std::vector<std::vector<uint32_t>> done_task_counts;
   std::vector<boot_time> retry_at;  // by step: earliest next start
@@ -226,6 +228,11 @@
   // Sorts by priority, then jobs that do not yield first, then by objective.
   void SortJobs(boot_time now);
   void PlaceJob(job_state& job, placement_pass& pass);
+  // Returns true if no task of the job runs although it has waited for a fast
+  // VM for long enough.
+  bool HasWaitedForSpeed(const job_state& job,
+                         const step_spec& step,
+                         boot_time now) const;
   bool StepIsReady(const job_state& job, size_t occurrence, size_t step) const;
   void PlaceStep(job_state& job,
                  uint32_t occurrence,
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -551,6 +551,48 @@
   CHECK(placed->vm == "steady");
 }
 
+// Regression (tetoszin-prod, trouble-2 --seed 917774748814): no VM promised
+// enough speed, and a job had nothing running while most VMs were idle.
+TEST_CASE("a job does not wait for a fast VM without limit") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  auto serving = MakeStep(1);
+  serving.long_running = true;
+  serving.latency_target = millis(50);
+  serving.image = "web";
+  world.AddJob("serving", MakeSubmission({serving}));
+  REQUIRE(world.Starts().size() == 1);
+  const auto report = [&world](const std::vector<run_key>& also) {
+    auto in = world.MakeReport("vm");
+    run_status status;
+    status.run = {{"serving", 0, 0, 0}, 1};
+    status.started = true;
+    status.percent = 100;
+    status.load = 49;
+    in.runs.push_back(status);
+    for (const auto& run : also) {
+      status.run = run;
+      status.load = 100;
+      in.runs.push_back(status);
+    }
+    world.Report(in);
+  };
+  report({});
+  auto batch = MakeStep(3);
+  batch.best_effort = true;
+  batch.image = "batch";
+  world.AddJob("batch", MakeSubmission({batch}));
+  CHECK(world.Starts().empty());
+  world.now += coordinator_options{}.best_effort_patience + millis(50);
+  report({});
+  const auto first = world.Starts();
+  REQUIRE(first.size() == 1);
+  // The job makes progress, so its other tasks wait for speed.
+  world.now += coordinator_options{}.best_effort_patience + millis(50);
+  report({first[0].run});
+  CHECK(world.Starts().empty());
+}
+
 // A standby that takes over reads the jobs before the catalogue.
 TEST_CASE("the objective of a job follows a catalogue that comes later") {
   coordinator_fixture world;
