Place late best-effort work by the latency of the moment again

Change: only a job that can still meet its objective is placed by the peak of the serving tasks' load; a late one takes the slack of the moment, as before.

--- a/include/chiveglade/workflow/placement.h
+++ b/include/chiveglade/workflow/placement.h
@@ -32,16 +32,18 @@
   // Serving tasks on the VM, aggregated by image.
   struct serving_image {
     std::string image;
-    // Highest recent peak of the tail latency of these tasks as a share of the
-    // target; 0 if unknown. Includes the predicted rise by best-effort tasks
+    // Highest tail latency of these tasks as a share of the target; 0 if
+    // unknown. Includes the predicted rise by best-effort tasks
     // that were placed too recently to show in the measurement.
     double ratio = 0;
+    // The same at the recent peak of their own load.
+    double peak_ratio = 0;
     uint32_t tasks = 1;
     friend bool operator==(const serving_image&,
                            const serving_image&) = default;
   };
   std::vector<serving_image> serving;
-  void AddServing(const std::string& image, double ratio);
+  void AddServing(const std::string& image, double ratio, double peak_ratio);
   // Adds the predicted effect of a recently placed best-effort task on the
   // serving tasks, which must have been added before.
   void AddRecentBestEffort(const std::string& image,
@@ -54,7 +56,13 @@
   friend bool operator==(const vm_load&, const vm_load&) = default;
 };
 
+// Which latency of the serving tasks the speed of a best-effort task is
+// predicted from: a task that can wait is placed where it runs fast also at the
+// peak; others start where there is slack at the moment.
+enum class latency_basis : uint8_t { kNow, kPeak };
+
 struct placement_options {
+  latency_basis basis = latency_basis::kNow;
   // Share of its reserved processors that a serving task uses at peak load;
   // best-effort tasks get the rest.
   double serving_peak_utilisation = 0.6;
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -40,13 +40,17 @@
 // of that limit alone.
 bool IsKnownNotToFit(const placement_pass& pass,
                      const std::string& service,
-                     const step_spec& step) {
+                     const step_spec& step,
+                     latency_basis basis) {
   return std::any_of(
       pass.steps_without_room.begin(), pass.steps_without_room.end(),
       [&](const placement_pass::refused_step& earlier) {
         const auto& refused = *earlier.step;
         return earlier.service == service && refused.max_per_vm == 0 &&
                refused.best_effort == step.best_effort &&
+               // Where there is no slack now there is none at the peak.
+               (earlier.basis == basis ||
+                earlier.basis == latency_basis::kNow) &&
                refused.required_label == step.required_label &&
                (!step.best_effort || refused.image == step.image) &&
                FitsWithin(refused.demand, step.demand);
@@ -149,11 +153,16 @@
   };
   // A job without any progress takes a slow VM; the runner there throttles it.
   const bool takes_any_speed = HasWaitedForSpeed(job, spec, pass.now);
+  // A job that can still be in time may wait for a VM that stays fast; for a
+  // late one every second counts.
+  auto limits = options.placement;
+  limits.basis =
+      pass.now > job.objective ? latency_basis::kNow : latency_basis::kPeak;
   if (std::none_of(tasks.begin(), tasks.end(), needs_start) ||
-      (!takes_any_speed && IsKnownNotToFit(pass, job.service, spec))) {
+      (!takes_any_speed &&
+       IsKnownNotToFit(pass, job.service, spec, limits.basis))) {
     return;
   }
-  auto limits = options.placement;
   if (takes_any_speed) {
     limits.min_best_effort_speed = 0;
   }
@@ -187,7 +196,7 @@
     }
     if (!best) {
       // The other tasks of the step have the same demand.
-      pass.steps_without_room.push_back({job.service, &spec});
+      pass.steps_without_room.push_back({job.service, &spec, limits.basis});
       return;
     }
     auto& vm = *candidates[*best];
@@ -274,7 +283,8 @@
   out.serving_millicores = vm.serving_millicores;
   for (const auto& [run, hosted] : vm.runs) {
     if (hosted.step && hosted.step->latency_target.count() > 0) {
-      out.AddServing(hosted.step->image, PeakLatencyRatio(hosted));
+      out.AddServing(hosted.step->image, LatencyRatio(hosted),
+                     PeakLatencyRatio(hosted));
     }
   }
   for (const auto& [run, hosted] : vm.runs) {
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -88,6 +88,7 @@
   struct refused_step {
     std::string service;
     const step_spec* step = nullptr;
+    latency_basis basis = latency_basis::kNow;
   };
   std::vector<refused_step> steps_without_room;
 };
--- a/src/workflow/placement.cc
+++ b/src/workflow/placement.cc
@@ -59,14 +59,17 @@
 
 }  // namespace
 
-void vm_load::AddServing(const std::string& image, double ratio) {
+void vm_load::AddServing(const std::string& image,
+                         double ratio,
+                         double peak_ratio) {
   const auto at =
       std::find_if(serving.begin(), serving.end(),
                    [&](const auto& item) { return item.image == image; });
   if (at == serving.end()) {
-    serving.push_back({image, ratio});
+    serving.push_back({image, ratio, peak_ratio});
   } else {
     at->ratio = std::max(at->ratio, ratio);
+    at->peak_ratio = std::max(at->peak_ratio, peak_ratio);
     ++at->tasks;
   }
 }
@@ -75,7 +78,9 @@
                                   double cores,
                                   const interference_model& model) {
   for (auto& task : serving) {
-    task.ratio += model.Weight(image, task.image) * cores;
+    const double impact = model.Weight(image, task.image) * cores;
+    task.ratio += impact;
+    task.peak_ratio += impact;
   }
 }
 
@@ -104,7 +109,10 @@
     if (ratio_increase <= kMinNoticeableRatioIncrease) {
       continue;
     }
-    const double slack = options.max_latency_ratio - serving.ratio;
+    const double slack = options.max_latency_ratio -
+                         (options.basis == latency_basis::kPeak
+                              ? std::max(serving.ratio, serving.peak_ratio)
+                              : serving.ratio);
     speed = std::min(speed, std::max(0.0, slack / ratio_increase));
   }
   return speed;
