--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -25,6 +25,7 @@
 // The rows of jobs that ended under earlier holders are read when the takeover
 // has settled; only their deletion depends on it.
 constexpr millis kSweepDelay{10'000};
+constexpr millis kSweepRetry{2'000};
 // Jobs that ended are moved out of the tables that a takeover reads this often,
 // in transactions of at most 100 entries.
 constexpr millis kEndedInterval{250};
@@ -38,7 +39,6 @@
   }
   return out;
 }
-constexpr millis kSweepRetry{2'000};
 
 }  // namespace
 
@@ -142,8 +142,8 @@
   unreadable_.clear();
   waiting_rows_.clear();
   gained_at_ = hooks_.clock();
-  // Nobody else writes progress now, and jobs are only added, so the two tables
-  // can be read side by side.
+  // Nobody else writes progress now, and a job leaves its table only after its
+  // last progress, so the two tables can be read side by side.
   ReadProgress();
   FollowJobs();
 }
