Measure the age of the operators' settings and log it with each 404

Neither logs nor metrics could say whether a gateway that answers 404 has an old configuration, and since when: a table that does not change looked like a watch that hears nothing.

The feed now says as of when its state is complete: the time at which the last answered call was sent. Each gateway reports that age ten times a second (chiveglade_operator_settings_age_seconds), logs when it passes the time within which a change must be in force (settings_outdated, settings_current), and logs each 404 with the version and its age. The limit is the setting settings_max_age_ms. Nothing is decided by it yet.

--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -86,6 +86,9 @@
   millis commit_interval{15};  // shortest time between two writes of progress
   millis leader_lease{1'400};  // silence after which another takes over
   millis run_grant{7'000};     // how long tasks outlive a silent coordinator
+  // Time after its acknowledgement within which a change of the operators'
+  // settings is in force.
+  millis settings_max_age{3'000};
   // Time that the balancer needs to notice a gateway that is not ready.
   millis unready_before_stop{2'500};
   millis shutdown_grace{5'500};
--- a/include/chiveglade/store/table_follower.h
+++ b/include/chiveglade/store/table_follower.h
@@ -36,6 +36,10 @@
     // All rows as of one moment or later; replaces what was known.
     std::function<void(const std::vector<row>&)> scanned;
     std::function<void(const std::vector<row_change>&)> changed;
+    // Optional, together with `clock`: what was handed over so far holds every
+    // change that was acknowledged before `as_of`.
+    std::function<void(boot_time as_of)> confirmed;
+    clock_fn clock;
     // Optional: a call failed, or the first one succeeded since.
     std::function<void(const reason&)> lost;
     std::function<void()> regained;
@@ -54,6 +58,8 @@
   void OnChanges(result<row_changes> changes);
   void OnLost(const reason& why);
   void OnRegained();
+  void NoteCallSent();
+  void Confirm();
   // Wraps a callback so that it does nothing once this object is gone.
   template <typename T>
   std::function<void(T)> Guard(void (table_follower::*call)(T)) {
@@ -70,6 +76,7 @@
   size_t scans_left_ = 0;
   std::vector<row> scanned_;
   uint64_t version_ = 0;
+  boot_time sent_at_{};  // the scan or watch in progress
   bool failing_ = false;
   std::shared_ptr<table_follower*> self_;
 };
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -84,7 +84,7 @@
 }
 
 void coordinator_host::AdoptOperatorState() {
-  auto newest = hooks_.operators();
+  auto newest = hooks_.operators().state;
   if (newest == adopted_) {
     return;
   }
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -52,8 +52,8 @@
     std::function<int64_t()> unix_ms;
     random_fn random;
     std::function<void(const char*, const observe::log_fields&)> log;
-    // The operators' newest settings; never null. Asked before each decision.
-    std::function<std::shared_ptr<const operator_state>()> operators;
+    // The operators' newest settings. Asked before each decision.
+    std::function<operator_view()> operators;
     // The role was gained. Optional.
     std::function<void()> gained;
   };
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -23,6 +23,7 @@
 #include "peer_call.h"
 #include "platform/table_client.h"
 #include "request_relay.h"
+#include "settings_freshness.h"
 #include "store_link.h"
 #include "store_options.h"
 
@@ -35,6 +36,7 @@
 constexpr uint32_t kThreads = 1;
 constexpr millis kFlushInterval{100};
 constexpr millis kGaugeInterval{1'000};
+constexpr millis kFreshnessInterval{100};
 // A coordinator that no runner has reported to for this long is cut off: each
 // reports twice a second.
 constexpr millis kOthersSilent{1'500};
@@ -62,6 +64,7 @@
   std::unique_ptr<request_relay> relay;
   std::unique_ptr<job_front> front;
   std::unique_ptr<member_row> member;
+  std::unique_ptr<settings_freshness> freshness;
   std::unique_ptr<loop_monitor> monitor;
   std::shared_ptr<net::http_server> callers;
   std::shared_ptr<net::http_server> balancer;
@@ -84,7 +87,7 @@
   bool IsReady() const {
     // An isolated gateway sends callers to others, unlike one that shares an
     // outage with them.
-    return operators->newest()->catalogue && !stopping &&
+    return operators->newest().state->catalogue && !stopping &&
            relay->access() != store_access::kIsolated;
   }
   std::string Status() const;
@@ -125,6 +128,7 @@
   to.changed = [this] {
     net::asio::post(control, [this] { host->OnOperatorChange(); });
   };
+  to.clock = &boot_clock::now;
   auto made = operator_feed::Make(std::move(to));
   if (!made) {
     return made.last_reason();
@@ -176,7 +180,7 @@
   front = std::make_unique<job_front>(
       control, peers, metrics, *host,
       job_front::hooks{table, &boot_clock::now, &UnixMillis,
-                       [this] { return operators->newest()->catalogue; }, log,
+                       [this] { return operators->newest(); }, log,
                        [this] { return relay->access(); },
                        [this](const net::http_request& request, millis timeout,
                               const net::yield& yield) {
@@ -185,6 +189,10 @@
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
+  freshness = std::make_unique<settings_freshness>(
+      settings.settings_max_age, metrics,
+      settings_freshness::hooks{[this] { return operators->newest(); },
+                                &boot_clock::now, log});
   monitor =
       std::make_unique<loop_monitor>(control, metrics, &boot_clock::now, log);
   return done{};
@@ -294,14 +302,15 @@
 
 std::string gateway_role::parts::Status() const {
   const auto from_operators = operators->newest();
-  const auto& catalogue = from_operators->catalogue;
+  const auto& catalogue = from_operators.state->catalogue;
   return nlohmann::json{
       {"name", settings.name},
       {"ready", IsReady()},
       {"coordinator", host->leader().holder},
       {"epoch", host->leader().epoch},
       {"catalogue_version", catalogue ? catalogue->version : 0},
-      {"out_of_service", from_operators->out_of_service}}
+      {"settings_current", freshness->IsCurrent()},
+      {"out_of_service", from_operators.state->out_of_service}}
       .dump();
 }
 
@@ -321,6 +330,7 @@
   if (settings.caller_listen) {
     FollowOperators();
   }
+  RunEvery(control, kFreshnessInterval, [this] { freshness->Report(); });
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
   RunEvery(control, kGaugeInterval, [this] {
     host->UpdateGauges();
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -136,7 +136,7 @@
 }
 
 uint64_t job_front::CatalogueVersion() const {
-  const auto catalogue = hooks_.catalogue();
+  const auto catalogue = hooks_.operators().state->catalogue;
   return catalogue ? catalogue->version : 0;
 }
 
@@ -191,14 +191,16 @@
 net::http_reply job_front::Route(const net::http_request& request,
                                  std::string& kind,
                                  const net::yield& yield) {
-  const auto catalogue = hooks_.catalogue();
+  const auto view = hooks_.operators();
+  const auto& catalogue = view.state->catalogue;
   if (!catalogue) {
     return Refuse(503, "no_catalogue", "no configuration has been read yet");
   }
   const auto path = net::PathOf(request.target);
   const auto* found = workflow::FindQueue(*catalogue, HostOf(request), path);
   if (!found) {
-    return Refuse(404, "no_queue", "no queue is configured for this path");
+    return RefuseByCatalogue(
+        404, "no_queue", "no queue is configured for this path", request, view);
   }
   if (request.body.size() > catalogue->max_body_bytes) {
     return Refuse(413, "body_too_large", "the job exceeds the limit");
@@ -229,6 +231,22 @@
   return Refuse(405, "bad_method", "jobs take POST, GET and DELETE");
 }
 
+net::http_reply job_front::RefuseByCatalogue(int status,
+                                             const std::string& code,
+                                             const std::string& detail,
+                                             const net::http_request& request,
+                                             const operator_view& view) {
+  hooks_.log("request_refused",
+             {{"method", request.method},
+              {"host", std::string(HostOf(request))},
+              {"path", std::string(net::PathOf(request.target))},
+              {"status", std::to_string(status)},
+              {"reason", code},
+              {"version", std::to_string(view.state->catalogue->version)},
+              {"age_ms", std::to_string(view.AgeAt(hooks_.clock()).count())}});
+  return Refuse(status, code, detail);
+}
+
 net::http_reply job_front::Submit(const call& in,
                                   const std::string& body,
                                   const net::yield& yield) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -26,8 +26,7 @@
     store::table_service table;
     clock_fn clock;
     std::function<int64_t()> unix_ms;
-    // The newest one; null: none yet.
-    std::function<std::shared_ptr<const workflow::catalogue>()> catalogue;
+    std::function<operator_view()> operators;
     std::function<void(const char*, const observe::log_fields&)> log;
     // How callers can be served, and a peer's reply to a request. Optional; the
     // store is then taken to be in reach.
@@ -101,6 +100,12 @@
   void Remember(const std::string& id, workflow::job_phase phase);
 
   uint64_t CatalogueVersion() const;
+  // Logs a refusal that the catalogue decided, and how old the catalogue is.
+  net::http_reply RefuseByCatalogue(int status,
+                                    const std::string& code,
+                                    const std::string& detail,
+                                    const net::http_request& request,
+                                    const operator_view& view);
 
   strand on_;
   peer_pool& peers_;
--- a/src/app/operator_feed.cc
+++ b/src/app/operator_feed.cc
@@ -27,9 +27,7 @@
   return out;
 }
 
-operator_feed::operator_feed(hooks hooks)
-    : hooks_(std::move(hooks)),
-      newest_(std::make_shared<const operator_state>()) {}
+operator_feed::operator_feed(hooks hooks) : hooks_(std::move(hooks)) {}
 
 operator_feed::~operator_feed() {
   loop_.stop();
@@ -46,7 +44,7 @@
   });
 }
 
-std::shared_ptr<const operator_state> operator_feed::newest() const {
+operator_view operator_feed::newest() const {
   const std::lock_guard lock(mutex_);
   return newest_;
 }
@@ -66,6 +64,8 @@
   to.changed = [this](const std::vector<store::row_change>& changes) {
     OnChanges(changes);
   };
+  to.confirmed = [this](boot_time as_of) { Confirm(as_of); };
+  to.clock = hooks_.clock;
   to.lost = [this](const reason& why) {
     hooks_.log("store_lost", {{"reason", why.code}, {"detail", why.detail}});
   };
@@ -75,7 +75,7 @@
 
 void operator_feed::OnRows(const std::vector<store::row>& rows) {
   operator_state next;
-  next.catalogue = newest()->catalogue;
+  next.catalogue = newest().state->catalogue;
   for (const auto& row : rows) {
     if (const auto name = platform::EvacuatedDataCentre(row.key)) {
       next.out_of_service.insert(*name);
@@ -86,7 +86,7 @@
 }
 
 void operator_feed::OnChanges(const std::vector<store::row_change>& changes) {
-  operator_state next = *newest();
+  operator_state next = *newest().state;
   for (const auto& change : changes) {
     if (const auto name = platform::EvacuatedDataCentre(change.now.key)) {
       if (change.removed) {
@@ -127,9 +127,14 @@
   auto next = std::make_shared<const operator_state>(std::move(state));
   {
     const std::lock_guard lock(mutex_);
-    newest_ = std::move(next);
+    newest_.state = std::move(next);
   }
   hooks_.changed();
 }
 
+void operator_feed::Confirm(boot_time as_of) {
+  const std::lock_guard lock(mutex_);
+  newest_.as_of = as_of;
+}
+
 }  // namespace chiveglade::app
--- a/src/app/operator_feed.h
+++ b/src/app/operator_feed.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "await.h"
+#include "chiveglade/core/clock.h"
 #include "chiveglade/core/result.h"
 #include "chiveglade/observe/log.h"
 #include "chiveglade/store/table.h"
@@ -28,6 +29,20 @@
   std::set<std::string> out_of_service;                  // data centres
 };
 
+// What a process knows of the operators' settings, and how old that is.
+struct operator_view {
+  // Never null.
+  std::shared_ptr<const operator_state> state =
+      std::make_shared<const operator_state>();
+  // The state holds every change that was acknowledged before. Zero: nothing
+  // was read yet.
+  boot_time as_of{};
+
+  millis AgeAt(boot_time now) const {
+    return std::chrono::duration_cast<millis>(now - as_of);
+  }
+};
+
 // Follows the operators' rows on an event loop and thread of its own, so that a
 // change is in force in time however much work waits on the loop that serves
 // callers. Users take the newest state when they need it. The catalogue never
@@ -42,6 +57,7 @@
     // Both are called on the feed's thread and must not block.
     std::function<void(std::string event, observe::log_fields)> log;
     std::function<void()> changed;
+    clock_fn clock;
   };
 
   static result<std::unique_ptr<operator_feed>> Make(hooks hooks);
@@ -52,8 +68,8 @@
 
   void Start();
 
-  // Never null. Thread-safe.
-  std::shared_ptr<const operator_state> newest() const;
+  // Thread-safe.
+  operator_view newest() const;
 
  private:
   explicit operator_feed(hooks hooks);
@@ -64,6 +80,7 @@
   // Replaces the catalogue of `state` if the row has a newer one.
   void Adopt(const store::row& row, operator_state& state);
   void Publish(operator_state state);
+  void Confirm(boot_time as_of);
 
   hooks hooks_;
   net::asio::io_context loop_;
@@ -71,7 +88,7 @@
   store::table_service table_;
   std::unique_ptr<store::table_follower> follower_;
   mutable std::mutex mutex_;
-  std::shared_ptr<const operator_state> newest_;
+  operator_view newest_;
   std::thread thread_;
 };
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -190,6 +190,9 @@
   in.Duration("run_grant_ms", out.run_grant, {1'000, 600'000},
               "How long tasks go on running without an answer of the "
               "coordinator.");
+  in.Duration("settings_max_age_ms", out.settings_max_age, {500, 60'000},
+              "Time within which a change of the operators' settings must be "
+              "in force. Requests are not answered by older settings.");
   in.Duration("unready_before_stop_ms", out.unready_before_stop, {0, 60'000},
               "How long a stopping gateway serves on while it says that it is "
               "not ready.");
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -154,6 +154,11 @@
        {},
        "How late the event loop runs what is due. Alert if a tenth is above "
        "0.25 s: the process needs more processor time than its VM has."},
+      {"chiveglade_operator_settings_age_seconds",
+       kind::kHistogram,
+       {},
+       "Age of the operators' settings that this gateway acts on, sampled ten "
+       "times a second. Alert if a hundredth is above 2 s: changes come late."},
       {"chiveglade_log_lines_dropped",
        kind::kGauge,
        {},
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -23,7 +23,20 @@
       hooks_(std::move(hooks)),
       self_(std::make_shared<table_follower*>(this)) {}
 
+void table_follower::NoteCallSent() {
+  if (hooks_.confirmed) {
+    sent_at_ = hooks_.clock();
+  }
+}
+
+void table_follower::Confirm() {
+  if (hooks_.confirmed) {
+    hooks_.confirmed(sent_at_);
+  }
+}
+
 void table_follower::ScanAll() {
+  NoteCallSent();
   scanned_.clear();
   scans_.clear();
   version_ = UINT64_MAX;
@@ -47,6 +60,7 @@
     version_ = std::min(version_, version);
     if (--scans_left_ == 0) {
       hooks_.scanned(std::exchange(scanned_, {}));
+      Confirm();
       Watch();
     }
   };
@@ -57,6 +71,7 @@
 }
 
 void table_follower::Watch() {
+  NoteCallSent();
   hooks_.table.watch(options_.prefix, version_, options_.wait,
                      Guard<result<row_changes>>(&table_follower::OnChanges));
 }
@@ -80,6 +95,7 @@
   if (!changes->rows.empty()) {
     hooks_.changed(changes->rows);
   }
+  Confirm();
   Watch();
 }
 
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -50,7 +50,7 @@
             {}});
     auto state = std::make_shared<operator_state>();
     state->catalogue = std::make_shared<workflow::catalogue>();
-    operators = state;
+    operators = {state, boot_clock::now()};
   }
 
   void AddJob(const std::string& id) {
@@ -101,7 +101,7 @@
   testing::memory_store store;
   uint64_t nonce = 0;
   std::vector<std::string> lines;
-  std::shared_ptr<const operator_state> operators;
+  operator_view operators;
   std::unique_ptr<coordinator_host> host;
 };
 
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -38,25 +38,24 @@
     };
     host = std::make_unique<coordinator_host>(
         control, peers, metrics, coordinator_host_options{},
-        coordinator_host::hooks{
-            table,
-            [this] { return now; },
-            [] { return 5; },
-            [] { return 7; },
-            [](const char*, const observe::log_fields&) {},
-            [] { return std::make_shared<const operator_state>(); },
-            {}});
+        coordinator_host::hooks{table,
+                                [this] { return now; },
+                                [] { return 5; },
+                                [] { return 7; },
+                                [](const char*, const observe::log_fields&) {},
+                                [] { return operator_view{}; },
+                                {}});
     front = std::make_unique<job_front>(
         control, peers, metrics, *host,
         job_front::hooks{
             table, [this] { return now; }, [] { return 5; },
-            [this] {
-              return has_catalogue
-                         ? std::make_shared<const workflow::catalogue>(
-                               catalogue)
-                         : nullptr;
+            [this] { return View(); },
+            [this](const char* event, const observe::log_fields& fields) {
+              lines.push_back(event);
+              for (const auto& [name, value] : fields) {
+                lines.back().append(" ").append(name).append("=").append(value);
+              }
             },
-            [](const char*, const observe::log_fields&) {},
             [this] { return access; },
             [this](const net::http_request& request, millis,
                    const net::yield&) -> result<net::http_reply> {
@@ -70,6 +69,15 @@
             }});
   }
 
+  operator_view View() const {
+    operator_state state;
+    if (has_catalogue) {
+      state.catalogue = std::make_shared<const workflow::catalogue>(catalogue);
+    }
+    return {std::make_shared<const operator_state>(std::move(state)),
+            now - age};
+  }
+
   net::http_reply Send(const std::string& method,
                        const std::string& target,
                        const std::string& body = "") {
@@ -108,6 +116,8 @@
   boot_time now{millis(1'000'000)};
   workflow::catalogue catalogue;
   bool has_catalogue = true;
+  millis age{0};  // of the operators' settings
+  std::vector<std::string> lines;
   store_access access = store_access::kDirect;
   bool peer_answers = true;
   int peer_status = 200;
@@ -262,6 +272,17 @@
   CHECK(world.store.commits() == 0);
 }
 
+TEST_CASE("a refused path is logged with the catalogue that decided it") {
+  front_world world;
+  world.catalogue.version = 7;
+  world.age = millis(1'300);
+  CHECK(world.Send("GET", "/other/").status == 404);
+  CHECK(world.lines ==
+        std::vector<std::string>{
+            "request_refused method=GET host=host path=/other/ status=404 "
+            "reason=no_queue version=7 age_ms=1300"});
+}
+
 // Plays callers of a gateway that is cut off from the store.
 TEST_CASE("a gateway without the store has a peer serve, or refuses at once") {
   front_world world;
--- a/tests/app/operator_feed_test.cc
+++ b/tests/app/operator_feed_test.cc
@@ -54,7 +54,28 @@
     to({{std::move(change)}, ++version, false});
   }
 
+  // Answers the watch that waits, or the next one, without a change.
+  void AnswerWithoutChange() {
+    std::function<void(const store::row_changes&)> to;
+    while (!to) {
+      std::this_thread::yield();
+      const std::lock_guard lock(mutex);
+      to = std::exchange(waiting, nullptr);
+    }
+    to({{}, version, false});
+  }
+
+  boot_time Now() {
+    const std::lock_guard lock(mutex);
+    return now;
+  }
+  void Pass(millis time) {
+    const std::lock_guard lock(mutex);
+    now += time;
+  }
+
   std::mutex mutex;
+  boot_time now{millis(1'000'000)};
   std::vector<store::row> rows;
   std::function<void(const store::row_changes&)> waiting;
   uint64_t version = 1;
@@ -64,7 +85,8 @@
   auto made = operator_feed::Make(
       {[&table](net::asio::io_context&, const strand& on)
            -> result<store::table_service> { return table.Make(on); },
-       [](const std::string&, const observe::log_fields&) {}, [] {}});
+       [](const std::string&, const observe::log_fields&) {}, [] {},
+       [&table] { return table.Now(); }});
   REQUIRE(made);
   (*made)->Start();
   return *std::move(made);
@@ -84,7 +106,7 @@
 }
 
 uint64_t VersionOf(const operator_feed& feed) {
-  const auto catalogue = feed.newest()->catalogue;
+  const auto catalogue = feed.newest().state->catalogue;
   return catalogue ? catalogue->version : 0;
 }
 
@@ -97,7 +119,7 @@
   CHECK(HoldsInTime([&] { return VersionOf(*feed) == 1; }));
   table.Change({{kConfigKey, Config(3, "b"), 2}, false});
   REQUIRE(HoldsInTime([&] { return VersionOf(*feed) == 3; }));
-  CHECK(feed->newest()->catalogue->queues.at(0).name == "b");
+  CHECK(feed->newest().state->catalogue->queues.at(0).name == "b");
 }
 
 TEST_CASE("a configuration never goes back to an older version") {
@@ -109,7 +131,7 @@
   table.Change({{kConfigKey, "not a configuration", 3}, false});
   table.Change({{kOutOfServiceKey, "{}", 4}, false});
   CHECK(HoldsInTime(
-      [&] { return feed->newest()->out_of_service.contains("dc"); }));
+      [&] { return feed->newest().state->out_of_service.contains("dc"); }));
   CHECK(VersionOf(*feed) == 5);
 }
 
@@ -118,10 +140,25 @@
   table.rows = {{kOutOfServiceKey, "{}", 1}};
   const auto feed = MakeFeed(table);
   CHECK(HoldsInTime(
-      [&] { return feed->newest()->out_of_service.contains("dc"); }));
-  CHECK(feed->newest()->catalogue == nullptr);
+      [&] { return feed->newest().state->out_of_service.contains("dc"); }));
+  CHECK(feed->newest().state->catalogue == nullptr);
   table.Change({{kOutOfServiceKey, "", 2}, true});
-  CHECK(HoldsInTime([&] { return feed->newest()->out_of_service.empty(); }));
+  CHECK(HoldsInTime(
+      [&] { return feed->newest().state->out_of_service.empty(); }));
+}
+
+TEST_CASE("the settings are as old as the call that last confirmed them") {
+  shared_table table;
+  table.rows = {{kConfigKey, Config(1, "a"), 1}};
+  const auto feed = MakeFeed(table);
+  const auto began = table.Now();
+  REQUIRE(HoldsInTime([&] { return feed->newest().as_of == began; }));
+  table.Pass(millis(1'200));
+  // The watch was sent at the beginning, so it may miss what came later.
+  table.AnswerWithoutChange();
+  table.AnswerWithoutChange();
+  CHECK(HoldsInTime(
+      [&] { return feed->newest().as_of == began + millis(1'200); }));
 }
 
 }  // namespace chiveglade::app
