Refuse requests that outdated settings of the operators would decide

A gateway answered from whatever configuration it had, however old: after a lost answer, while the store refused it, or while its processor was overloaded.

A gateway whose settings may miss a change that must be in force now counts as cut off, like one without the store: the coordinator's gateway serves its callers, or they get 503 at once and their next try reaches another gateway. Settings as of a time within the limit hold every change that must be in force, so no answer by them can be one of an older version. While nobody reads the store, states are still shown. A process that only stands by no longer asks the coordinator's gateway, since it has no callers to pass on.

The two tests fail without the check: 404 for 503, and a job of a queue that may be gone is accepted, shown and cancelled.

Ruled out: reading the configuration again for each such request, which needs the store or the processor that the feed lacks.

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -90,6 +90,7 @@
     return operators->newest().state->catalogue && !stopping &&
            relay->access() != store_access::kIsolated;
   }
+  bool IsCutOff() const { return link.is_away() || !freshness->IsCurrent(); }
   std::string Status() const;
   // Starts the feed of the operators' rows. A standby needs it only once it
   // has held the role.
@@ -163,7 +164,7 @@
   relay = std::make_unique<request_relay>(
       control,
       request_relay::hooks{
-          [this] { return link.is_away(); },
+          [this] { return IsCutOff(); },
           [this] {
             const auto& leader = host->leader();
             return leader.holder == settings.name ? "" : leader.address;
@@ -181,6 +182,8 @@
       control, peers, metrics, *host,
       job_front::hooks{table, &boot_clock::now, &UnixMillis,
                        [this] { return operators->newest(); }, log,
+                       [this] { return freshness->IsCurrent(); },
+                       [this] { return link.is_away(); },
                        [this] { return relay->access(); },
                        [this](const net::http_request& request, millis timeout,
                               const net::yield& yield) {
@@ -281,7 +284,7 @@
                   : net::http_reply{404, {}, ""};
   }
   if (path == kStorePath) {
-    return {link.is_away() ? 503 : 200, {}, ""};
+    return {IsCutOff() ? 503 : 200, {}, ""};
   }
   if (path == kLeaderPath) {
     if (const auto row = workflow::DecodeLeaderRow(body)) {
@@ -322,14 +325,12 @@
 
 void gateway_role::parts::StartTimers() {
   host->Start();
-  relay->Start();
   if (settings.caller_listen) {
+    relay->Start();
     member->Start();  // Callers need the coordinator's address at once.
-  }
-  monitor->Start();
-  if (settings.caller_listen) {
     FollowOperators();
   }
+  monitor->Start();
   RunEvery(control, kFreshnessInterval, [this] { freshness->Report(); });
   RunEvery(control, kFlushInterval, [this] { events.Flush(); });
   RunEvery(control, kGaugeInterval, [this] {
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -198,6 +198,11 @@
   }
   const auto path = net::PathOf(request.target);
   const auto* found = workflow::FindQueue(*catalogue, HostOf(request), path);
+  if (!MayAnswer(request, found != nullptr)) {
+    return RefuseByCatalogue(503, "settings_outdated",
+                             "the configuration in force cannot be read",
+                             request, view);
+  }
   if (!found) {
     return RefuseByCatalogue(
         404, "no_queue", "no queue is configured for this path", request, view);
@@ -231,6 +236,17 @@
   return Refuse(405, "bad_method", "jobs take POST, GET and DELETE");
 }
 
+bool job_front::MayAnswer(const net::http_request& request,
+                          bool queue_found) const {
+  if (hooks_.settings_current()) {
+    return true;
+  }
+  // A state is shown by a queue's old settings while newer ones cannot be read
+  // here and through the coordinator's gateway.
+  return request.method == "GET" && queue_found && hooks_.store_away() &&
+         Access() == store_access::kAwayForAll;
+}
+
 net::http_reply job_front::RefuseByCatalogue(int status,
                                              const std::string& code,
                                              const std::string& detail,
--- a/src/app/request_relay.cc
+++ b/src/app/request_relay.cc
@@ -42,7 +42,7 @@
 
 void request_relay::Start() {
   RunEvery(on_, kProbeInterval, [this] {
-    if (!hooks_.store_away()) {
+    if (!hooks_.cut_off()) {
       EndOutage();
       return;
     }
@@ -53,7 +53,7 @@
 }
 
 void request_relay::Probe(const net::yield& yield) {
-  if (!hooks_.store_away()) {
+  if (!hooks_.cut_off()) {
     EndOutage();
     return;
   }
@@ -83,7 +83,7 @@
 }
 
 void request_relay::SetAccess(store_access next) {
-  if (next != away_access_ && hooks_.store_away()) {
+  if (next != away_access_ && hooks_.cut_off()) {
     hooks_.log("store_access_changed", {{"access", ToString(next)},
                                         {"before", ToString(away_access_)},
                                         {"coordinator", hooks_.coordinator()}});
@@ -92,7 +92,7 @@
 }
 
 store_access request_relay::access() const {
-  return hooks_.store_away() ? away_access_ : store_access::kDirect;
+  return hooks_.cut_off() ? away_access_ : store_access::kDirect;
 }
 
 result<net::http_reply> request_relay::Forward(const net::http_request& request,
--- a/src/app/request_relay.h
+++ b/src/app/request_relay.h
@@ -1,4 +1,4 @@
-// Serves callers through another gateway while this one does not reach the
+// Serves callers through another gateway while this one is cut off from the
 // store.
 #ifndef CHIVEGLADE_APP_REQUEST_RELAY_H_
 #define CHIVEGLADE_APP_REQUEST_RELAY_H_
@@ -17,7 +17,7 @@
 
 // How a gateway can serve callers at present.
 enum class store_access {
-  kDirect,       // it reaches the store
+  kDirect,       // it reaches the store and has the settings in force
   kThroughPeer,  // the coordinator's gateway does, and answers
   kAwayForAll,   // nobody is known to reach it
   kIsolated,     // neither the store nor the coordinator's gateway is reached
@@ -25,13 +25,16 @@
 
 const char* ToString(store_access in);
 
-// Answers cuts between single VMs and the store: while the store is away, asks
-// the coordinator's gateway whether it reaches it, which it must to keep its
-// role. Everything runs on `on`.
+// Answers cuts between single VMs and the store, and changes of the operators'
+// settings that do not arrive: while this process is cut off, asks the
+// coordinator's gateway whether it is well, which it must be to keep its role.
+// Everything runs on `on`.
 class request_relay {
  public:
   struct hooks {
-    std::function<bool()> store_away;
+    // True while this process does not reach the store, or does not know the
+    // settings in force.
+    std::function<bool()> cut_off;
     // Peer address of the coordinator; empty if there is none, or if it is
     // this process.
     std::function<std::string()> coordinator;
@@ -51,7 +54,7 @@
 
   // Asks from time to time from now on.
   void Start();
-  // Asks once, if the store is away.
+  // Asks once, if this process is cut off.
   void Probe(const net::yield& yield);
 
   store_access access() const;
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -15,6 +15,8 @@
 using testing::store_fault;
 
 constexpr char kId[] = "5c0e7a21d94b36f8";
+// Within this time a change of the operators' settings must be in force.
+constexpr millis kMaxAge{3'000};
 constexpr char kBody[] = R"({"spec":"text","steps":[{"count":2,"cpu":500}]})";
 
 // A gateway's front without sockets: the store answers through the event loop,
@@ -56,6 +58,7 @@
                 lines.back().append(" ").append(name).append("=").append(value);
               }
             },
+            [this] { return age <= kMaxAge; }, [this] { return store_away; },
             [this] { return access; },
             [this](const net::http_request& request, millis,
                    const net::yield&) -> result<net::http_reply> {
@@ -119,6 +122,7 @@
   millis age{0};  // of the operators' settings
   std::vector<std::string> lines;
   store_access access = store_access::kDirect;
+  bool store_away = false;
   bool peer_answers = true;
   int peer_status = 200;
   std::string peer_version = "0";
@@ -283,6 +287,46 @@
             "reason=no_queue version=7 age_ms=1300"});
 }
 
+// Regression: CONFIG on tetoszin-prod-grown, 404 for a queue that had been
+// added 3 s before.
+TEST_CASE("a path is not denied by settings that may be outdated") {
+  front_world world;
+  world.age = kMaxAge + millis(1);
+  world.access = GENERATE(store_access::kDirect, store_access::kAwayForAll);
+  world.store_away = world.access == store_access::kAwayForAll;
+  const auto began = world.now;
+  const auto reply = world.Send("GET", "/added/");
+  CHECK(reply.status == 503);
+  CHECK_FALSE(net::FindHeader(reply.headers, "retry-after").empty());
+  CHECK(world.now == began);
+  world.age = kMaxAge;
+  CHECK(world.Send("GET", "/added/").status == 404);
+}
+
+TEST_CASE("a queue that may be gone accepts and shows nothing") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  REQUIRE(world.Submit().status == 200);
+  store::transaction end;
+  workflow::AppendEnd(kId, {workflow::job_phase::kCompleted, 5}, end.mutations);
+  world.store.Commit(end);
+  REQUIRE(world.Send("GET", target).status == 200);
+  const auto commits = world.store.commits();
+  world.age = kMaxAge + millis(1);
+  SECTION("the store answers others") {
+    for (const auto* method : {"POST", "DELETE", "GET"}) {
+      CHECK(world.Send(method, target, kBody).status == 503);
+    }
+  }
+  SECTION("the store answers nobody: states are still shown") {
+    world.store_away = true;
+    world.access = store_access::kAwayForAll;
+    CHECK(world.Send("GET", target).body == R"({"state":"completed"})");
+    CHECK(world.Submit().status == 503);
+  }
+  CHECK(world.store.commits() == commits);
+}
+
 // Plays callers of a gateway that is cut off from the store.
 TEST_CASE("a gateway without the store has a peer serve, or refuses at once") {
   front_world world;
