Read the operators' rows again when an answer holds several versions

The watch returns each version since the last answer in full, so a follower that is slower than the changes gets larger answers, and is slower still.

After an answer with several versions of a row the feed reads the rows themselves, whose size does not depend on how far it is behind, and watches from there. Older versions in an answer are no longer decoded, by any follower. The watch of jobs does not read its table again: its rows are written once, and the table is larger than its history.

The test plays changes every 600 ms against answers that take 650 ms for each version.

--- a/include/chiveglade/store/table_follower.h
+++ b/include/chiveglade/store/table_follower.h
@@ -22,11 +22,20 @@
   // Wait before a failed call is repeated, so that a store that comes back is
   // noticed at once without being flooded.
   millis retry_after{150};
+  // Reads all rows again after an answer with several versions of a row. For
+  // tables whose history is larger than their rows.
+  bool rescan_if_behind = false;
 };
 
 // Reads all rows once, then watches for changes, and reads all again where the
-// service has dropped the history needed. Single thread; the table must have
-// the optional hooks.
+// service has dropped the history needed. Of the versions of a row in one
+// answer only the newest is handed over. Single thread; the table must have the
+// optional hooks.
+//
+// `rescan_if_behind` answers this load: rows that change faster than a slow
+// process takes the answers in. An answer holds each version in full, so it
+// grows with the time that the one before it took, and the process falls
+// further behind with each answer. The rows themselves do not grow.
 class table_follower {
  public:
   struct hooks {
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -36,7 +36,6 @@
 constexpr uint32_t kThreads = 1;
 constexpr millis kFlushInterval{100};
 constexpr millis kGaugeInterval{1'000};
-constexpr millis kFreshnessInterval{100};
 // A coordinator that no runner has reported to for this long is cut off: each
 // reports twice a second.
 constexpr millis kOthersSilent{1'500};
@@ -331,8 +330,10 @@
     FollowOperators();
   }
   monitor->Start();
-  RunEvery(control, kFreshnessInterval, [this] { freshness->Report(); });
-  RunEvery(control, kFlushInterval, [this] { events.Flush(); });
+  RunEvery(control, kFlushInterval, [this] {
+    freshness->Report();
+    events.Flush();
+  });
   RunEvery(control, kGaugeInterval, [this] {
     host->UpdateGauges();
     metrics.Set("chiveglade_log_lines_dropped", {},
--- a/src/app/operator_feed.cc
+++ b/src/app/operator_feed.cc
@@ -53,6 +53,7 @@
   store::follower_options options;
   options.prefix = platform::kOperatorPrefix;
   options.wait = kWatchWait;
+  options.rescan_if_behind = true;
   store::table_follower::hooks to;
   to.table = table_;
   to.after = [this](millis wait, const std::function<void()>& then) {
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -3,10 +3,32 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <ranges>
+#include <set>
 #include <utility>
 
 namespace chiveglade::store {
 
+namespace {
+
+// Leaves the newest change of each row, in order. Returns true if there were
+// older ones.
+bool RemoveSuperseded(std::vector<row_change>& changes) {
+  std::set<std::string> newest;
+  std::vector<row_change> kept;
+  for (auto& change : std::ranges::reverse_view(changes)) {
+    if (newest.insert(change.now.key).second) {
+      kept.push_back(std::move(change));
+    }
+  }
+  const bool removed = kept.size() < changes.size();
+  std::ranges::reverse(kept);
+  changes = std::move(kept);
+  return removed;
+}
+
+}  // namespace
+
 std::unique_ptr<table_follower> table_follower::Make(follower_options options,
                                                      hooks hooks) {
   std::unique_ptr<table_follower> out(
@@ -92,11 +114,16 @@
     return;
   }
   version_ = std::max(version_, changes->version);
+  const bool is_behind = RemoveSuperseded(changes->rows);
   if (!changes->rows.empty()) {
     hooks_.changed(changes->rows);
   }
   Confirm();
-  Watch();
+  if (is_behind && options_.rescan_if_behind) {
+    ScanAll();
+  } else {
+    Watch();
+  }
 }
 
 void table_follower::OnRegained() {
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "chiveglade/store/table_follower.h"
 #include "tests/support/memory_store.h"
@@ -32,6 +35,7 @@
     };
     hooks.changed = [this](const std::vector<row_change>& changes) {
       for (const auto& change : changes) {
+        handed_over.push_back(change.now.key);
         if (change.removed) {
           seen.erase(change.now.key);
         } else {
@@ -58,13 +62,129 @@
   std::deque<std::function<void()>> waiting;
   std::unique_ptr<table_follower> follower;
   std::map<std::string, std::string> seen;
+  std::vector<std::string> handed_over;  // keys of changes
   int scans = 0;
   int lost = 0;
   int regained = 0;
 };
 
+// A follower of one row whose answers take time for each version in them, as
+// for a process that lacks processor time. Runs in virtual time.
+struct slow_world {
+  slow_world() {
+    table_follower::hooks hooks;
+    const auto table = store.table();
+    hooks.table = table;
+    hooks.table.page = [this, table](const std::string& prefix,
+                                     const std::string& after, size_t limit,
+                                     const page_callback& then) {
+      table.page(prefix, after, limit, [this, then](const auto& page) {
+        At(now + kTimePerVersion * page->rows.size(), [=] { then(page); });
+      });
+    };
+    hooks.table.watch = [this](const std::string& prefix, uint64_t version,
+                               millis, const watch_callback& then) {
+      Watch(prefix, version, then);
+    };
+    hooks.after = [this](millis wait, const std::function<void()>& then) {
+      At(now + wait, then);
+    };
+    hooks.scanned = [this](const std::vector<row>& rows) {
+      for (const auto& row : rows) {
+        Adopt(row);
+      }
+    };
+    hooks.changed = [this](const std::vector<row_change>& changes) {
+      for (const auto& change : changes) {
+        Adopt(change.now);
+      }
+    };
+    hooks.clock = [this] { return now; };
+    hooks.confirmed = [this](boot_time at) { as_of = at; };
+    follower_options options;
+    options.prefix = "t/";
+    options.rescan_if_behind = true;
+    Write();
+    follower = table_follower::Make(options, hooks);
+  }
+
+  // Answers once there is a change, with all versions since.
+  void Watch(const std::string& prefix,
+             uint64_t version,
+             const watch_callback& then) {
+    store.table().watch(prefix, version, millis(0), [&](const auto& changes) {
+      if (changes->rows.empty()) {
+        At(now + millis(10), [=, this] { Watch(prefix, version, then); });
+      } else {
+        At(now + kTimePerVersion * changes->rows.size(),
+           [=] { then(changes); });
+      }
+    });
+  }
+
+  void At(boot_time when, std::function<void()> then) {
+    events.emplace(when, std::move(then));
+  }
+  void Write() {
+    written.push_back(now);
+    store.Commit({{}, {{"t/row", std::to_string(written.size())}}});
+  }
+  void Adopt(const row& in) {
+    const size_t version = std::stoul(in.value);
+    worst_lag = std::max(worst_lag, std::chrono::duration_cast<millis>(
+                                        now - written[version - 1]));
+  }
+  void RunFor(millis time) {
+    const auto end = now + time;
+    while (!events.empty() && events.begin()->first <= end) {
+      auto next = events.extract(events.begin());
+      now = next.key();
+      next.mapped()();
+    }
+    now = end;
+  }
+
+  // Above the pause between two changes.
+  static constexpr millis kTimePerVersion{650};
+  boot_time now{millis(1'000'000)};
+  testing::memory_store store;
+  std::multimap<boot_time, std::function<void()>> events;
+  std::vector<boot_time> written;  // by version, from 1
+  millis worst_lag{0};
+  boot_time as_of{};
+  std::unique_ptr<table_follower> follower;
+};
+
 }  // namespace
 
+// Regression: CONFIG on tetoszin-prod-grown, the coordinator adopted versions
+// the later the longer a storm of changes lasted.
+TEST_CASE("a follower that is slower than the changes does not fall behind") {
+  constexpr millis kPause{600};
+  constexpr millis kApplyTime{3'000};
+  slow_world world;
+  world.RunFor(kPause);
+  for (int i = 0; i < 50; ++i) {
+    world.Write();
+    world.RunFor(kPause);
+  }
+  CHECK(world.worst_lag < kApplyTime);
+  CHECK(world.now - world.as_of < kApplyTime);
+}
+
+TEST_CASE("only the newest of several versions of a row is handed over") {
+  follower_world world;
+  world.store.Commit({{}, {{"t/a", "1"}, {"t/b", "1"}}});
+  world.Start();
+  world.store.Commit({{}, {{"t/a", "2"}}});
+  world.store.Commit({{}, {{"t/b", std::nullopt}}});
+  world.store.Commit({{}, {{"t/a", "3"}}});
+  world.Continue();
+  CHECK(world.handed_over == std::vector<std::string>{"t/b", "t/a"});
+  CHECK(world.seen == std::map<std::string, std::string>{{"t/a", "3"}});
+  CHECK(world.scans == 1);
+}
+
 TEST_CASE("a follower reads all pages, then changes") {
   follower_world world;
   for (char c = 'a'; c < 'a' + 10; ++c) {
