Start no task by knowledge that may miss a cancellation or evacuation

Nothing bounded how old its list of data centres out of service or its jobs could be, since the leader row is renewed by commits and says nothing of what the holder hears.

The coordinator is now told as of when it knows all that callers and operators changed, the older of the feed's and the watch of jobs' times, and starts nothing if that is over 2.5 s ago. Stops and ends go on. Before that limit, once the news are overdue, passes wait: they would decide by what has changed since, and on an overloaded VM they take the processor that the news wait for. They wait until 4 s at most, so a watch that stays silent does not keep ends from being written.

The tests fail without the change: tasks are placed and start orders sent by knowledge 10 s old.

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -48,6 +48,10 @@
   // How long a job of which nothing runs waits for a VM on which its
   // best-effort tasks would run fast. Then one of them starts where it can.
   millis best_effort_patience{1'000};
+  // Nothing starts while a cancellation or a change of the operators' settings
+  // this old may be unknown. A start follows its decision by kStartValidity at
+  // most, so an evacuation holds within 4.5 s.
+  millis max_information_age{2'500};
   // How long the state of an ended job is kept for queries.
   millis ended_job_retention{150'000};
   placement_options placement;
@@ -87,6 +91,9 @@
   void SetCatalogue(const catalogue& in);
   // Sets the data centres that are out of service; nothing starts there.
   void SetOutOfService(std::set<std::string> data_centres);
+  // Everything that callers and operators had changed before `as_of` has been
+  // passed in. Without a call all is taken as known.
+  void SetInformedAsOf(boot_time as_of);
 
   // Adds a stored job, with its stored progress if there is any. Does nothing
   // if the job is known.
--- a/src/app/commit_pacer.h
+++ b/src/app/commit_pacer.h
@@ -27,12 +27,22 @@
   }
   // No pass for a while after a write that failed.
   void Pause(boot_time now, millis time) { next_ = now + time; }
+  // True while a pass should wait for news of callers and operators that is
+  // overdue by this age. It would decide by what has changed since, and where
+  // the processor is what the news wait for, it would keep them waiting. Calls
+  // that stay unanswered do not hold passes back for good.
+  static bool Yields(millis information_age) {
+    return information_age > kNewsDue && information_age <= kNewsGivenUp;
+  }
   // When the next pass may begin.
   boot_time next() const { return next_; }
 
  private:
   // A longer pass was interrupted, for instance because the VM was frozen.
   static constexpr millis kMaxPause{500};
+  // Above the wait of a watch and the time of its answer.
+  static constexpr millis kNewsDue{1'600};
+  static constexpr millis kNewsGivenUp{4'000};
 
   millis interval_;
   boot_time next_{};
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -20,6 +20,8 @@
 constexpr millis kGreetingTimeout{400};
 constexpr millis kReadRetry{100};
 constexpr millis kOnce{0};
+// Wait of the watch of jobs, well below the age at which nothing starts.
+constexpr millis kJobsWait{1'200};
 // Interval between claims, longer than a handover takes.
 constexpr millis kClaimInterval{1'000};
 // The rows of jobs that ended under earlier holders are read when the takeover
@@ -84,7 +86,9 @@
 }
 
 void coordinator_host::AdoptOperatorState() {
-  auto newest = hooks_.operators().state;
+  auto [newest, as_of] = hooks_.operators();
+  informed_as_of_ = std::min(as_of, jobs_as_of_);
+  coordinator_->SetInformedAsOf(informed_as_of_);
   if (newest == adopted_) {
     return;
   }
@@ -136,6 +140,7 @@
   options.log = hooks_.log;
   coordinator_ = std::make_unique<workflow::coordinator>(std::move(options));
   adopted_.reset();
+  jobs_as_of_ = {};
   AdoptOperatorState();
   recovered_ = progress_read_ = jobs_read_ = false;
   progress_.clear();
@@ -222,6 +227,7 @@
   store::follower_options options;
   options.prefix = kJobPrefix;
   options.scan_prefixes = DigitPrefixes(kJobPrefix);
+  options.wait = kJobsWait;
   store::table_follower::hooks to;
   to.table = hooks_.table;
   to.after = [this](millis wait, const std::function<void()>& then) {
@@ -244,6 +250,8 @@
     AddRows(rows);
     Pump();
   };
+  to.clock = hooks_.clock;
+  to.confirmed = [this](boot_time as_of) { jobs_as_of_ = as_of; };
   to.lost = [this](const reason& why) {
     hooks_.log("jobs_watch_lost", {{"reason", why.code}});
   };
@@ -468,7 +476,9 @@
   if (HandOver()) {
     return;
   }
-  if (!writer_->holds() || writer_->busy()) {
+  if (!writer_->holds() || writer_->busy() ||
+      commit_pacer::Yields(
+          std::chrono::duration_cast<millis>(now - informed_as_of_))) {
     return;
   }
   if (now < pacer_.next()) {
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -89,6 +89,7 @@
   void UpdateGauges();
 
  private:
+  // Passes on what operators have changed, and how recent all knowledge is.
   void AdoptOperatorState();
   void OnGained(uint64_t epoch);
   void OnLost(const char* why);
@@ -123,6 +124,8 @@
   std::unique_ptr<workflow::fenced_writer> writer_;
   std::unique_ptr<workflow::coordinator> coordinator_;
   std::unique_ptr<store::table_follower> jobs_;
+  // All jobs and cancellations that were stored before are known; zero: none.
+  boot_time jobs_as_of_{};
   // While recovering. Rows of jobs wait here until all progress is read.
   std::unique_ptr<store::table_scan> progress_scan_;
   bool progress_read_ = false;
@@ -140,6 +143,7 @@
   std::optional<workflow::candidate> handed_to_;  // while that is written
   boot_time claimed_at_{};
   bool writing_ended_ = false;
+  boot_time informed_as_of_{};  // of all that `coordinator_` was given
   // What `coordinator_` was given last; null: nothing yet.
   std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -188,6 +188,10 @@
   }
 }
 
+void coordinator::SetInformedAsOf(boot_time as_of) {
+  state_->informed_as_of = as_of;
+}
+
 void coordinator::AddJob(const std::string& id,
                          const submission& in,
                          const std::optional<job_record>& progress,
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -84,7 +84,7 @@
   const bool time_passed =
       now - placed_at >= kPlacementInterval ||
       millis(std::abs(now_unix_ms - placed_unix_ms)) >= kPlacementInterval;
-  if (!placement_due && !time_passed) {
+  if ((!placement_due && !time_passed) || !IsInformed(now)) {
     return;
   }
   placement_due = false;
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -138,6 +138,7 @@
   catalogue current_catalogue;
   bool has_catalogue = false;
   std::set<std::string> out_of_service;
+  boot_time informed_as_of = boot_time::max();
   std::map<std::string, std::unique_ptr<job_state>> jobs;
   std::set<std::string> active;  // ids of jobs without a final phase
   std::map<std::string, ended_view> ended;
@@ -167,6 +168,8 @@
   bool restoring = false;  // stored progress is loaded; log no job ends
   std::map<std::string, vm_state> vms;
   std::set<std::string> vms_with_orders;  // VMs with orders to send
+  // VMs whose starts wait until what is known is recent again.
+  std::set<std::string> vms_with_held_starts;
   interference_model interference;
   coordinator_counters counters;
 
@@ -223,6 +226,10 @@
   void UpdateOwnLoads(vm_state& vm, boot_time now);
   void UpdateInterference(vm_state& vm, boot_time now);
   bool AcceptsStarts(const vm_state& vm, boot_time now) const;
+  // Whether what is known is recent enough to start tasks by it.
+  bool IsInformed(boot_time now) const {
+    return now - informed_as_of <= options.max_information_age;
+  }
 
   // Placing.
   void Place(boot_time now, int64_t now_unix_ms);
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -285,7 +285,8 @@
 
 bool coordinator::state::AcceptsStarts(const vm_state& vm,
                                        boot_time now) const {
-  return vm.has_reported && vm.last_report.phase == worker_phase::kReady &&
+  return IsInformed(now) && vm.has_reported &&
+         vm.last_report.phase == worker_phase::kReady &&
          now - vm.last_report_at < options.report_timeout &&
          now >= vm.starts_paused_until &&
          vm.lease_expires_at - now > kMinLeaseForStart &&
@@ -295,7 +296,11 @@
 std::vector<coordinator::addressed_orders> coordinator::TakeOrders(
     boot_time now) {
   std::vector<addressed_orders> out;
-  const auto waiting = std::exchange(state_->vms_with_orders, {});
+  auto waiting = std::exchange(state_->vms_with_orders, {});
+  const bool informed = state_->IsInformed(now);
+  if (informed) {
+    waiting.merge(std::exchange(state_->vms_with_held_starts, {}));
+  }
   for (const auto& name : waiting) {
     auto& vm = state_->vms.at(name);
     if (!vm.has_reported) {
@@ -312,6 +317,9 @@
                                    millis(0), kStartValidity);
     message.acknowledged = vm.ends_durable;
     const bool may_start = state_->AcceptsStarts(vm, now);
+    if (!informed) {
+      state_->vms_with_held_starts.insert(name);
+    }
     for (auto& [run, hosted] : vm.runs) {
       if (!hosted.durable || hosted.last_order_at != boot_time{}) {
         continue;
--- a/tests/app/commit_pacer_test.cc
+++ b/tests/app/commit_pacer_test.cc
@@ -33,6 +33,13 @@
 
 }  // namespace
 
+TEST_CASE("a pass waits for overdue news, but not for good") {
+  CHECK_FALSE(commit_pacer::Yields(millis(1'500)));
+  CHECK(commit_pacer::Yields(millis(2'000)));
+  CHECK(commit_pacer::Yields(millis(3'000)));
+  CHECK_FALSE(commit_pacer::Yields(millis(4'500)));
+}
+
 TEST_CASE(
     "passes of an overloaded coordinator leave half of the time to reports") {
   for (const millis pass_time : {millis(20), millis(70), millis(400)}) {
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -24,6 +24,9 @@
     table.watch = [this, watch](const std::string& prefix, uint64_t version,
                                 millis wait,
                                 const store::watch_callback& then) {
+      if (watch_silent) {
+        return;
+      }
       auto timer = std::make_shared<net::asio::steady_timer>(control, kBeat);
       timer->async_wait([=](const boost::system::error_code&) {
         (void)timer;
@@ -37,7 +40,7 @@
         control, peers, metrics, std::move(options),
         coordinator_host::hooks{
             table,
-            &boot_clock::now,
+            [this] { return Now(); },
             [] { return 5; },
             [this] { return ++nonce; },
             [this](const char* event, const observe::log_fields& fields) {
@@ -46,11 +49,13 @@
                 lines.back().append(" ").append(name).append("=").append(value);
               }
             },
-            [this] { return operators; },
+            [this] {
+              return operator_view{operators, operators_as_of.value_or(Now())};
+            },
             {}});
     auto state = std::make_shared<operator_state>();
     state->catalogue = std::make_shared<workflow::catalogue>();
-    operators = {state, boot_clock::now()};
+    operators = state;
   }
 
   void AddJob(const std::string& id) {
@@ -65,6 +70,23 @@
     store.Commit({{}, {{kProgressPrefix + id, record}}});
   }
 
+  // A VM with room for any task reports.
+  void Report() {
+    workflow::report in;
+    in.vm = "vm";
+    in.address = "127.0.0.1:1";
+    in.runner_incarnation = "life";
+    in.sequence = ++reports;
+    in.epoch = host->leader().epoch;
+    in.worker_incarnation = 1'000;
+    in.phase = workflow::worker_phase::kReady;
+    in.capacity = {16'000, 64'000, 0};
+    in.complete = true;
+    (void)host->OnReport(in);
+  }
+
+  boot_time Now() const { return boot_clock::now() + passed; }
+
   std::string Done() {
     workflow::job_record out;
     out.ever_started = true;
@@ -100,8 +122,12 @@
   observe::metrics metrics;
   testing::memory_store store;
   uint64_t nonce = 0;
+  uint64_t reports = 0;
   std::vector<std::string> lines;
-  operator_view operators;
+  std::shared_ptr<const operator_state> operators;
+  std::optional<boot_time> operators_as_of;  // none: always up to date
+  bool watch_silent = false;
+  millis passed{0};  // beyond the time that the test takes
   std::unique_ptr<coordinator_host> host;
 };
 
@@ -142,6 +168,43 @@
   CHECK(world.store.Read("progress/0broken"));
 }
 
+TEST_CASE(
+    "a holder that hears nothing of operators or callers starts nothing") {
+  host_world world;
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  SECTION("the operators' settings are old") {
+    world.operators_as_of = world.Now() - millis(10'000);
+  }
+  SECTION("the watch of jobs is silent") {
+    world.watch_silent = true;
+  }
+  world.AddJob("0live");
+  // The last watch that was sent still brings the job.
+  REQUIRE(world.RunUntil(
+      [&] { return world.host->FindJobView("0live").has_value(); }));
+  world.passed = millis(10'000);
+  world.Report();
+  const auto is_placed = [&] {
+    return world.store.Read("progress/0live").has_value();
+  };
+  for (int i = 0; i < 20; ++i) {
+    world.loop.run_for(host_world::kBeat);
+    world.Report();
+  }
+  CHECK_FALSE(is_placed());
+}
+
+TEST_CASE("a holder places tasks by recent news") {
+  host_world world;
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  world.AddJob("0live");
+  world.Report();
+  CHECK(world.RunUntil(
+      [&] { return world.store.Read("progress/0live").has_value(); }));
+}
+
 TEST_CASE("a holder hands over to a fitter process, not to an equal one") {
   host_world world;
   world.host->Start();
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -33,6 +33,41 @@
   CHECK(world.Starts().size() == 1);
 }
 
+// Regression: CONFIG and UNASKED on tetoszin-prod-grown, beside a coordinator
+// that learnt of changes up to 7 s late.
+TEST_CASE("nothing starts while a cancellation or evacuation may be unknown") {
+  coordinator_fixture world;
+  const auto limit = coordinator_options{}.max_information_age;
+  world.ReportRunning("vm", {});
+  SECTION("placing waits") {
+    world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+    world.core->SetInformedAsOf(world.now - limit - millis(1));
+    world.Tick();
+    CHECK_FALSE(world.core->HasUncommitted());
+    world.core->SetInformedAsOf(world.now - limit);
+    CHECK(world.Starts().size() == 1);
+  }
+  SECTION("a start that is placed waits") {
+    world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+    world.Tick();
+    world.Commit();
+    world.core->SetInformedAsOf(world.now - limit - millis(1));
+    CHECK(world.Starts().empty());
+    world.core->SetInformedAsOf(world.now);
+    CHECK(world.Starts().size() == 1);
+  }
+  SECTION("a stop does not wait") {
+    world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+    REQUIRE(world.Starts().size() == 1);
+    world.ReportRunning("vm", {Run(0, 0)});
+    world.core->SetInformedAsOf(world.now - limit - millis(1));
+    world.core->CancelJob(kJob, world.now);
+    world.Tick();
+    world.Commit();
+    CHECK(world.Stops() == std::vector<run_key>{Run(0, 0)});
+  }
+}
+
 TEST_CASE("a step waits for the steps it depends on") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
