Give up a silent watch soon after its wait, and confirm at once after it

A gateway that lost one answer of the watch of the operators' rows adopted changes up to 2.85 s late, in sight of the bound of 3 s: every watch was given 2.2 s whatever its wait of 1.2 s, then came a pause of 0.15 s, up to 0.5 s to connect, and the next watch waited again.

The time for an answer now counts from the end of the wait: 300 ms while the store is well, more while it answers slowly, as for other calls. An answer before the end of the wait says nothing about the store's pace. After a failure the next watch does not wait, so that it confirms what is known. The watch of jobs is a watch of the same kind and is served by the same change.

--- a/include/chiveglade/store/table_follower.h
+++ b/include/chiveglade/store/table_follower.h
@@ -30,7 +30,8 @@
 // Reads all rows once, then watches for changes, and reads all again where the
 // service has dropped the history needed. Of the versions of a row in one
 // answer only the newest is handed over. Single thread; the table must have the
-// optional hooks.
+// optional hooks. After a failed watch the next one does not wait, so that it
+// confirms at once what is known.
 //
 // `rescan_if_behind` answers this load: rows that change faster than a slow
 // process takes the answers in. An answer holds each version in full, so it
@@ -63,7 +64,7 @@
 
   void ScanAll();
   void Scan(const std::string& prefix);
-  void Watch();
+  void Watch(millis wait);
   void OnChanges(result<row_changes> changes);
   void OnLost(const reason& why);
   void OnRegained();
--- a/src/store/http_caller.cc
+++ b/src/store/http_caller.cc
@@ -58,7 +58,7 @@
   }
 }
 
-void http_caller::Call(net::http_request request, callback then) {
+void http_caller::Call(net::http_request request, callback then, millis wait) {
   {
     const std::lock_guard lock(mutex_);
     if (in_flight_ >= options_.max_in_flight) {
@@ -69,9 +69,9 @@
   }
   asio::spawn(
       asio::make_strand(loop_),
-      [self = shared_from_this(), request = std::move(request),
+      [self = shared_from_this(), request = std::move(request), wait,
        then = std::move(then)](const net::yield& yield) mutable {
-        auto outcome = self->Try(request, yield);
+        auto outcome = self->Try(request, wait, yield);
         self->Finish();
         self->Post(std::move(outcome), std::move(then));
       },
@@ -84,6 +84,7 @@
 
 net::http_outcome http_caller::Send(net::http_client& client,
                                     const net::http_request& request,
+                                    millis wait,
                                     const net::yield& yield) {
   millis timeout;
   {
@@ -91,12 +92,15 @@
     timeout = patience_.timeout();
   }
   const auto began = steady::now();
-  auto out =
-      client.Send(request, {timeout, kTotalTimeoutFactor * timeout}, yield);
+  auto out = client.Send(
+      request, {wait + timeout, wait + kTotalTimeoutFactor * timeout}, yield);
+  const auto took = std::chrono::duration_cast<millis>(steady::now() - began);
   const std::lock_guard lock(mutex_);
   if (out.reply) {
-    patience_.OnAnswer(
-        std::chrono::duration_cast<millis>(steady::now() - began));
+    // Before the end of the wait an answer does not show the service's pace.
+    if (took >= wait) {
+      patience_.OnAnswer(took - wait);
+    }
   } else if (out.delivery == verdict::kMayHaveRun) {
     patience_.OnSilence(timeout);
   }
@@ -104,10 +108,11 @@
 }
 
 net::http_outcome http_caller::Try(const net::http_request& request,
+                                   millis wait,
                                    const net::yield& yield) {
   net::http_outcome out;
   for (const size_t index : Order()) {
-    out = Send(*endpoints_[index].client, request, yield);
+    out = Send(*endpoints_[index].client, request, wait, yield);
     if (!PassesOn(out)) {
       break;
     }
--- a/src/store/http_caller.h
+++ b/src/store/http_caller.h
@@ -26,8 +26,9 @@
 
   // Sends the request and posts the outcome to the executor of the callbacks.
   // An endpoint that did not get a byte or answered 503 passes the call on to
-  // the next one.
-  void Call(net::http_request request, callback then);
+  // the next one. The service may hold its answer back for `wait`, which adds
+  // to the timeout.
+  void Call(net::http_request request, callback then, millis wait = millis(0));
 
   // Posts an outcome that never left this process.
   void Refuse(const reason& why, callback then);
@@ -46,8 +47,10 @@
   // Sends to one endpoint within the present timeout, and learns from it.
   net::http_outcome Send(net::http_client& client,
                          const net::http_request& request,
+                         millis wait,
                          const net::yield& yield);
   net::http_outcome Try(const net::http_request& request,
+                        millis wait,
                         const net::yield& yield);
   // Indexes in the order in which to try them.
   std::vector<size_t> Order();
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -83,7 +83,7 @@
     if (--scans_left_ == 0) {
       hooks_.scanned(std::exchange(scanned_, {}));
       Confirm();
-      Watch();
+      Watch(options_.wait);
     }
   };
   to.lost = [this](const reason& why) { OnLost(why); };
@@ -92,9 +92,9 @@
   scans_.back()->Start();
 }
 
-void table_follower::Watch() {
+void table_follower::Watch(millis wait) {
   NoteCallSent();
-  hooks_.table.watch(options_.prefix, version_, options_.wait,
+  hooks_.table.watch(options_.prefix, version_, wait,
                      Guard<result<row_changes>>(&table_follower::OnChanges));
 }
 
@@ -103,7 +103,7 @@
     OnLost(changes.last_reason());
     hooks_.after(options_.retry_after, [self = std::weak_ptr(self_)] {
       if (const auto at = self.lock()) {
-        (*at)->Watch();
+        (*at)->Watch(millis(0));
       }
     });
     return;
@@ -122,7 +122,7 @@
   if (is_behind && options_.rescan_if_behind) {
     ScanAll();
   } else {
-    Watch();
+    Watch(options_.wait);
   }
 }
 
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -21,6 +21,7 @@
     hooks.table.watch = [this, watch](const std::string& prefix,
                                       uint64_t version, millis wait,
                                       const watch_callback& then) {
+      waits.push_back(wait);
       waiting.push_back([=] { watch(prefix, version, wait, then); });
     };
     hooks.after = [this](millis, const std::function<void()>& then) {
@@ -63,6 +64,7 @@
   std::unique_ptr<table_follower> follower;
   std::map<std::string, std::string> seen;
   std::vector<std::string> handed_over;  // keys of changes
+  std::vector<millis> waits;             // of the watches
   int scans = 0;
   int lost = 0;
   int regained = 0;
@@ -237,4 +239,20 @@
   CHECK(world.seen.size() == 1);
 }
 
+// Regression: CONFIG on tetoszin-prod-grown. With the usual wait after a lost
+// answer, what is known is confirmed later than a change must be in force.
+TEST_CASE("a watch after a failed one does not wait") {
+  follower_world world;
+  world.Start();
+  world.store.SetFaults([](const std::string&, const std::string&) {
+    return testing::store_fault::kLoseAnswer;
+  });
+  world.Continue();
+  world.store.SetFaults({});
+  world.Continue();  // the pause before the next watch
+  world.Continue();
+  CHECK(world.waits ==
+        std::vector<millis>{millis(1'000), millis(0), millis(1'000)});
+}
+
 }  // namespace chiveglade::store
