Do not count pending jobs while new ones may be unknown

The coordinator counted the jobs that it knew for callers who ask how many are pending, however long ago it had last heard of new ones, so a late watch of jobs gave too small a count.

The coordinator's gateway now refuses the count while its jobs are older than the limit that holds for starts, and does not give it to other gateways, which then use their last one or refuse. The test gets a count of 0 without the check.

--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -443,7 +443,11 @@
   return coordinator_->FindJobView(id);
 }
 
-size_t coordinator_host::PendingJobCount(const std::string& queue) const {
+std::optional<size_t> coordinator_host::PendingJobCount(
+    const std::string& queue) const {
+  if (hooks_.clock() - jobs_as_of_ > options_.coordinator.max_information_age) {
+    return std::nullopt;
+  }
   return coordinator_->PendingJobCount(queue);
 }
 
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -82,7 +82,8 @@
   // Only while ready.
   workflow::report_reply OnReport(const workflow::report& in);
   std::optional<workflow::job_view> FindJobView(const std::string& id) const;
-  size_t PendingJobCount(const std::string& queue) const;
+  // None if jobs that were accepted lately may be unknown.
+  std::optional<size_t> PendingJobCount(const std::string& queue) const;
   // When the last report came, in any life of the role.
   boot_time reported_at() const { return reported_at_; }
 
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -388,8 +388,9 @@
 net::http_reply job_front::Pending(const workflow::queue_policy& queue,
                                    const net::yield& yield) {
   if (host_.ready()) {
-    return Json(200,
-                platform::EncodePending(host_.PendingJobCount(queue.name)));
+    const auto jobs = host_.PendingJobCount(queue.name);
+    return jobs ? Json(200, platform::EncodePending(*jobs))
+                : Refuse(503, "jobs_outdated", "the jobs cannot be counted");
   }
   auto& known = pending_[queue.name];
   if (hooks_.clock() - known.at < kPendingAge / 2) {
@@ -521,7 +522,8 @@
   if (!host_.ready()) {
     return std::nullopt;
   }
-  return std::to_string(host_.PendingJobCount(queue));
+  const auto jobs = host_.PendingJobCount(queue);
+  return jobs ? std::optional(std::to_string(*jobs)) : std::nullopt;
 }
 
 result<std::optional<store::row>> job_front::Read(const std::string& key,
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -195,6 +195,17 @@
   CHECK_FALSE(is_placed());
 }
 
+TEST_CASE("a holder that hears of no jobs does not count them") {
+  host_world world;
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.host->PendingJobCount("queue") == 0);
+  world.watch_silent = true;
+  world.loop.run_for(4 * host_world::kBeat);
+  world.passed = millis(10'000);
+  CHECK_FALSE(world.host->PendingJobCount("queue"));
+}
+
 TEST_CASE("a holder places tasks by recent news") {
   host_world world;
   world.host->Start();
