Ask for changes more often, so that quiet settings do not look overdue

An answered watch confirms what is known as of when it was sent, so with a wait of 1.2 s and no changes the settings are 1.2 to 2.4 s old, and passes, which wait for news above 1.6 s, stood still half of the time. Where a change must be in force within 2 s, gateways would even have taken quiet settings for outdated ones.

The watches of the operators' rows and of jobs now wait 0.5 s. That costs a gateway some 1.2 calls a second more. The test computes the greatest age of quiet settings from the wait that the feed asks for; it failed before.

--- a/src/app/commit_pacer.h
+++ b/src/app/commit_pacer.h
@@ -40,7 +40,7 @@
  private:
   // A longer pass was interrupted, for instance because the VM was frozen.
   static constexpr millis kMaxPause{500};
-  // Above the wait of a watch and the time of its answer.
+  // Above twice the wait of a watch and the time of its answers.
   static constexpr millis kNewsDue{1'600};
   static constexpr millis kNewsGivenUp{4'000};
 
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -20,8 +20,9 @@
 constexpr millis kGreetingTimeout{400};
 constexpr millis kReadRetry{100};
 constexpr millis kOnce{0};
-// Wait of the watch of jobs, well below the age at which nothing starts.
-constexpr millis kJobsWait{1'200};
+// Wait of the watch of jobs. Without changes what is known is up to twice as
+// old, and passes must not take that for overdue news.
+constexpr millis kJobsWait{500};
 // Interval between claims, longer than a handover takes.
 constexpr millis kClaimInterval{1'000};
 // The rows of jobs that ended under earlier holders are read when the takeover
--- a/src/app/operator_feed.cc
+++ b/src/app/operator_feed.cc
@@ -11,9 +11,9 @@
 
 namespace {
 
-// Short enough that a connection that went silent is noticed before a change is
-// overdue.
-constexpr millis kWatchWait{1'200};
+// An answer confirms what is known as of when its watch was sent, so without
+// changes the settings are up to twice as old.
+constexpr millis kWatchWait{500};
 
 }  // namespace
 
--- a/tests/app/operator_feed_test.cc
+++ b/tests/app/operator_feed_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include "src/app/commit_pacer.h"
 #include "src/app/operator_feed.h"
 
 namespace chiveglade::app {
@@ -16,6 +17,8 @@
 // Far above what a thread needs to be scheduled, below what callers allow a
 // change to take.
 constexpr millis kApplyTime{2'000};
+// Of a store that is several times as slow as usual, or of a busy gateway.
+constexpr millis kAnswerTime{400};
 
 std::string Config(uint64_t version, const char* queue) {
   return R"({"version":)" + std::to_string(version) +
@@ -33,9 +36,10 @@
       net::asio::post(
           on, [then, page = store::row_page{rows, false, 1}] { then(page); });
     };
-    out.watch = [this, on](const std::string&, uint64_t, millis,
+    out.watch = [this, on](const std::string&, uint64_t, millis wait,
                            const store::watch_callback& then) {
       const std::lock_guard lock(mutex);
+      longest_wait = std::max(longest_wait, wait);
       waiting = [on, then](const store::row_changes& changes) {
         net::asio::post(on, [then, changes] { then(changes); });
       };
@@ -76,6 +80,7 @@
 
   std::mutex mutex;
   boot_time now{millis(1'000'000)};
+  millis longest_wait{0};
   std::vector<store::row> rows;
   std::function<void(const store::row_changes&)> waiting;
   uint64_t version = 1;
@@ -147,6 +152,23 @@
       [&] { return feed->newest().state->out_of_service.empty(); }));
 }
 
+// Regression: with a wait of 1.2 s the coordinator's passes stood still half of
+// the time, for news that were not overdue.
+TEST_CASE("settings that do not change are neither outdated nor overdue") {
+  shared_table table;
+  table.rows = {{kConfigKey, Config(1, "a"), 1}};
+  const auto feed = MakeFeed(table);
+  table.AnswerWithoutChange();
+  table.AnswerWithoutChange();
+  const std::lock_guard lock(table.mutex);
+  // Confirmed by the watch before the one that waits now.
+  const auto oldest = 2 * table.longest_wait + kAnswerTime;
+  CHECK_FALSE(commit_pacer::Yields(oldest));
+  // The shortest time within which platforms want a change to be in force, with
+  // one answer lost.
+  CHECK(oldest + kAnswerTime < millis(2'000));
+}
+
 TEST_CASE("the settings are as old as the call that last confirmed them") {
   shared_table table;
   table.rows = {{kConfigKey, Config(1, "a"), 1}};
