Log when the coordinator waits for overdue news

A coordinator whose passes wait for news places nothing, and no line said so. news_overdue and news_heard now say since when, which of the two feeds is late, and how late it was at worst.

--- a/src/app/commit_pacer.h
+++ b/src/app/commit_pacer.h
@@ -32,7 +32,10 @@
   // the processor is what the news wait for, it would keep them waiting. Calls
   // that stay unanswered do not hold passes back for good.
   static bool Yields(millis information_age) {
-    return information_age > kNewsDue && information_age <= kNewsGivenUp;
+    return IsOverdue(information_age) && information_age <= kNewsGivenUp;
+  }
+  static bool IsOverdue(millis information_age) {
+    return information_age > kNewsDue;
   }
   // When the next pass may begin.
   boot_time next() const { return next_; }
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -100,6 +100,21 @@
   coordinator_->SetOutOfService(adopted_->out_of_service);
 }
 
+void coordinator_host::LogNews(millis age) {
+  const bool was_overdue = overdue_age_ > millis(0);
+  const bool is_overdue = commit_pacer::IsOverdue(age);
+  if (is_overdue && !was_overdue) {
+    const auto jobs_age = hooks_.clock() - jobs_as_of_;
+    hooks_.log("news_overdue",
+               {{"age_ms", std::to_string(age.count())},
+                {"jobs_age_ms", std::to_string(jobs_age.count())}});
+  } else if (was_overdue && !is_overdue) {
+    hooks_.log("news_heard",
+               {{"worst_ms", std::to_string(overdue_age_.count())}});
+  }
+  overdue_age_ = is_overdue ? age : millis(0);
+}
+
 void coordinator_host::OnLeader(const workflow::leader_row& row) {
   if (row.epoch < leader_.epoch || row.epoch == 0) {
     return;
@@ -481,9 +496,10 @@
   if (HandOver()) {
     return;
   }
-  if (!writer_->holds() || writer_->busy() ||
-      commit_pacer::Yields(
-          std::chrono::duration_cast<millis>(now - informed_as_of_))) {
+  const auto news_age =
+      std::chrono::duration_cast<millis>(now - informed_as_of_);
+  LogNews(news_age);
+  if (!writer_->holds() || writer_->busy() || commit_pacer::Yields(news_age)) {
     return;
   }
   if (now < pacer_.next()) {
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -92,6 +92,8 @@
  private:
   // Passes on what operators have changed, and how recent all knowledge is.
   void AdoptOperatorState();
+  // Logs when news become overdue and when they have come.
+  void LogNews(millis age);
   void OnGained(uint64_t epoch);
   void OnLost(const char* why);
   void ReadProgress();
@@ -145,6 +147,7 @@
   boot_time claimed_at_{};
   bool writing_ended_ = false;
   boot_time informed_as_of_{};  // of all that `coordinator_` was given
+  millis overdue_age_{0};       // of the news; zero: they are not overdue
   // What `coordinator_` was given last; null: nothing yet.
   std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -193,6 +193,7 @@
     world.Report();
   }
   CHECK_FALSE(is_placed());
+  CHECK(world.Logged("news_overdue"));
 }
 
 TEST_CASE("a holder that hears of no jobs does not count them") {
