Ask for changes four times within the age that settings may have

With a setting of settings_max_age_ms near the wait of the watch, settings that do not change would count as outdated between two answers. The wait is now at most a quarter of the setting; at the 2 and 3 s of the known deployments it stays 0.5 s.

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +44,9 @@
 // them looks at the leader row soon although each does so rarely.
 constexpr millis kStandbyPollInterval{1'200};
 constexpr millis kIdlePollInterval{5'000};
+// Settings that do not change are up to two watches old, and an answer may be
+// lost.
+constexpr int kWatchesPerMaxAge = 4;
 
 }  // namespace
 
@@ -129,7 +133,10 @@
     net::asio::post(control, [this] { host->OnOperatorChange(); });
   };
   to.clock = &boot_clock::now;
-  auto made = operator_feed::Make(std::move(to));
+  operator_feed_options options;
+  options.watch_wait = std::min(options.watch_wait,
+                                settings.settings_max_age / kWatchesPerMaxAge);
+  auto made = operator_feed::Make(options, std::move(to));
   if (!made) {
     return made.last_reason();
   }
--- a/src/app/operator_feed.cc
+++ b/src/app/operator_feed.cc
@@ -9,16 +9,11 @@
 
 namespace chiveglade::app {
 
-namespace {
-
-// An answer confirms what is known as of when its watch was sent, so without
-// changes the settings are up to twice as old.
-constexpr millis kWatchWait{500};
-
-}  // namespace
-
-result<std::unique_ptr<operator_feed>> operator_feed::Make(hooks hooks) {
-  std::unique_ptr<operator_feed> out(new operator_feed(std::move(hooks)));
+result<std::unique_ptr<operator_feed>> operator_feed::Make(
+    operator_feed_options options,
+    hooks hooks) {
+  std::unique_ptr<operator_feed> out(
+      new operator_feed(options, std::move(hooks)));
   auto table = out->hooks_.make_table(out->loop_, out->on_);
   if (!table) {
     return table.last_reason();
@@ -27,7 +22,8 @@
   return out;
 }
 
-operator_feed::operator_feed(hooks hooks) : hooks_(std::move(hooks)) {}
+operator_feed::operator_feed(operator_feed_options options, hooks hooks)
+    : options_(options), hooks_(std::move(hooks)) {}
 
 operator_feed::~operator_feed() {
   loop_.stop();
@@ -52,7 +48,7 @@
 void operator_feed::Follow() {
   store::follower_options options;
   options.prefix = platform::kOperatorPrefix;
-  options.wait = kWatchWait;
+  options.wait = options_.watch_wait;
   options.rescan_if_behind = true;
   store::table_follower::hooks to;
   to.table = table_;
--- a/src/app/operator_feed.h
+++ b/src/app/operator_feed.h
@@ -43,6 +43,12 @@
   }
 };
 
+struct operator_feed_options {
+  // Wait of one watch. An answer confirms what is known as of when its watch
+  // was sent, so without changes the settings are up to twice as old.
+  millis watch_wait{500};
+};
+
 // Follows the operators' rows on an event loop and thread of its own, so that a
 // change is in force in time however much work waits on the loop that serves
 // callers. Users take the newest state when they need it. The catalogue never
@@ -60,7 +66,9 @@
     clock_fn clock;
   };
 
-  static result<std::unique_ptr<operator_feed>> Make(hooks hooks);
+  static result<std::unique_ptr<operator_feed>> Make(
+      operator_feed_options options,
+      hooks hooks);
   // Stops the thread.
   ~operator_feed();
   operator_feed(const operator_feed&) = delete;
@@ -72,7 +80,7 @@
   operator_view newest() const;
 
  private:
-  explicit operator_feed(hooks hooks);
+  operator_feed(operator_feed_options options, hooks hooks);
 
   void Follow();
   void OnRows(const std::vector<store::row>& rows);
@@ -82,6 +90,7 @@
   void Publish(operator_state state);
   void Confirm(boot_time as_of);
 
+  const operator_feed_options options_;
   hooks hooks_;
   net::asio::io_context loop_;
   strand on_ = net::asio::make_strand(loop_);
--- a/tests/app/operator_feed_test.cc
+++ b/tests/app/operator_feed_test.cc
@@ -88,10 +88,10 @@
 
 std::unique_ptr<operator_feed> MakeFeed(shared_table& table) {
   auto made = operator_feed::Make(
-      {[&table](net::asio::io_context&, const strand& on)
-           -> result<store::table_service> { return table.Make(on); },
-       [](const std::string&, const observe::log_fields&) {}, [] {},
-       [&table] { return table.Now(); }});
+      {}, {[&table](net::asio::io_context&, const strand& on)
+               -> result<store::table_service> { return table.Make(on); },
+           [](const std::string&, const observe::log_fields&) {}, [] {},
+           [&table] { return table.Now(); }});
   REQUIRE(made);
   (*made)->Start();
   return *std::move(made);
