Judge the age of the very settings that answer a request

The feed's thread can replace the settings between the look at them and the check of their age, so a request could be answered by settings that were outdated while newer ones passed the check. The check now takes the settings that the request was matched with. Found on reading the change; no test shows it, since the window is a few instructions.

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -188,7 +188,9 @@
       control, peers, metrics, *host,
       job_front::hooks{table, &boot_clock::now, &UnixMillis,
                        [this] { return operators->newest(); }, log,
-                       [this] { return freshness->IsCurrent(); },
+                       [this](const operator_view& view) {
+                         return freshness->IsCurrent(view);
+                       },
                        [this] { return link.is_away(); },
                        [this] { return relay->access(); },
                        [this](const net::http_request& request, millis timeout,
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -198,7 +198,7 @@
   }
   const auto path = net::PathOf(request.target);
   const auto* found = workflow::FindQueue(*catalogue, HostOf(request), path);
-  if (!MayAnswer(request, found != nullptr)) {
+  if (!MayAnswer(request, view, found != nullptr)) {
     return RefuseByCatalogue(503, "settings_outdated",
                              "the configuration in force cannot be read",
                              request, view);
@@ -237,8 +237,9 @@
 }
 
 bool job_front::MayAnswer(const net::http_request& request,
+                          const operator_view& view,
                           bool queue_found) const {
-  if (hooks_.settings_current()) {
+  if (hooks_.settings_current(view)) {
     return true;
   }
   // A state is shown by a queue's old settings while newer ones cannot be read
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -28,9 +28,9 @@
     std::function<int64_t()> unix_ms;
     std::function<operator_view()> operators;
     std::function<void(const char*, const observe::log_fields&)> log;
-    // Whether the operators' settings hold every change that must be in force,
-    // and whether the store answers none of this process's calls.
-    std::function<bool()> settings_current;
+    // Whether these settings hold every change that must be in force.
+    std::function<bool(const operator_view&)> settings_current;
+    // Whether the store answers none of this process's calls.
     std::function<bool()> store_away;
     // How callers can be served, and a peer's reply to a request. Optional; the
     // store is then taken to be in reach.
@@ -104,8 +104,10 @@
   void Remember(const std::string& id, workflow::job_phase phase);
 
   uint64_t CatalogueVersion() const;
-  // Whether the request may be answered by the settings that are known here.
-  bool MayAnswer(const net::http_request& request, bool queue_found) const;
+  // Whether the request may be answered by these settings.
+  bool MayAnswer(const net::http_request& request,
+                 const operator_view& view,
+                 bool queue_found) const;
   // Logs a refusal that the catalogue decided, and how old the catalogue is.
   net::http_reply RefuseByCatalogue(int status,
                                     const std::string& code,
--- a/src/app/settings_freshness.cc
+++ b/src/app/settings_freshness.cc
@@ -10,12 +10,8 @@
                                        hooks hooks)
     : max_age_(max_age), metrics_(metrics), hooks_(std::move(hooks)) {}
 
-bool settings_freshness::IsCurrent() const {
-  return Age() <= max_age_;
-}
-
-millis settings_freshness::Age() const {
-  return hooks_.operators().AgeAt(hooks_.clock());
+bool settings_freshness::IsCurrent(const operator_view& view) const {
+  return view.AgeAt(hooks_.clock()) <= max_age_;
 }
 
 void settings_freshness::Report() {
--- a/src/app/settings_freshness.h
+++ b/src/app/settings_freshness.h
@@ -25,14 +25,14 @@
 
   settings_freshness(millis max_age, observe::metrics& metrics, hooks hooks);
 
-  bool IsCurrent() const;
+  bool IsCurrent(const operator_view& view) const;
+  // Of what is known now.
+  bool IsCurrent() const { return IsCurrent(hooks_.operators()); }
   // Reports the age, and logs when the settings have become outdated or
   // current. Call it several times a second once the feed was started.
   void Report();
 
  private:
-  millis Age() const;
-
   const millis max_age_;
   observe::metrics& metrics_;
   hooks hooks_;
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -58,8 +58,10 @@
                 lines.back().append(" ").append(name).append("=").append(value);
               }
             },
-            [this] { return age <= kMaxAge; }, [this] { return store_away; },
-            [this] { return access; },
+            [this](const operator_view& view) {
+              return view.AgeAt(now) <= kMaxAge;
+            },
+            [this] { return store_away; }, [this] { return access; },
             [this](const net::http_request& request, millis,
                    const net::yield&) -> result<net::http_reply> {
               if (!peer_answers) {
