Share the drawing of random numbers between fault tests

Both fault tests with random times had the same lambda. The test of the operators' feed yields instead of sleeping while it waits for the feed's thread; its checks and bounds are unchanged.

--- a/tests/app/operator_feed_test.cc
+++ b/tests/app/operator_feed_test.cc
@@ -105,7 +105,7 @@
     if (std::chrono::steady_clock::now() > end) {
       return false;
     }
-    std::this_thread::sleep_for(millis(1));
+    std::this_thread::yield();
   }
   return true;
 }
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -33,6 +33,13 @@
   }
 }
 
+// Returns a source of numbers below a limit, the same for the same seed.
+auto MakePick(uint64_t seed) {
+  return [random = random_engine(seed)](size_t below) mutable {
+    return std::uniform_int_distribution<size_t>(0, below - 1)(random);
+  };
+}
+
 // Ends all faults, after which every job must end as it should.
 void CheckCompletes(workflow_world& world) {
   world.Heal();
@@ -114,10 +121,7 @@
   const int seed = GENERATE(range(1, 121));
   CAPTURE(seed);
   workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
-  random_engine random(static_cast<uint64_t>(seed) * 7'919);
-  const auto pick = [&random](size_t below) {
-    return std::uniform_int_distribution<size_t>(0, below - 1)(random);
-  };
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 7'919);
   SubmitJobs(world, 8);
   SubmitFailingJobs(world, 2);
   world.SetFaults({0.1, 0.05, 0.1});
@@ -157,10 +161,7 @@
   const int seed = GENERATE(range(1, 41));
   CAPTURE(seed);
   workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
-  random_engine random(static_cast<uint64_t>(seed) * 6'007);
-  const auto pick = [&random](size_t below) {
-    return std::uniform_int_distribution<size_t>(0, below - 1)(random);
-  };
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 6'007);
   world.SetFaults({0.05, 0, 0.05});
   // More than fit at a time, so that tasks wait to be started.
   SubmitJobs(world, 24);
