--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -16,13 +15,13 @@
 bool RemoveSuperseded(std::vector<row_change>& changes) {
   std::set<std::string> newest;
   std::vector<row_change> kept;
-  for (auto& change : std::ranges::reverse_view(changes)) {
-    if (newest.insert(change.now.key).second) {
-      kept.push_back(std::move(change));
+  for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
+    if (newest.insert(change->now.key).second) {
+      kept.push_back(std::move(*change));
     }
   }
   const bool removed = kept.size() < changes.size();
-  std::ranges::reverse(kept);
+  std::reverse(kept.begin(), kept.end());
   changes = std::move(kept);
   return removed;
 }
