--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -22,6 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ZONES = ["derby-hall", "leicester-hall", "nottingham-hall"]
 SERVICE = "huvo11a"
+LEAD_S = 10  # traffic starts so long after the machines
 HOST = "nony24.example"
 CAPACITY = {"cpu": 16000, "mem_mb": 64000, "gpu": 0}
 ROUTES = [  # of the site mttla-ladder: bookings, recalculations, archives
@@ -147,7 +148,7 @@
         while time.monotonic() < until:
             replies = [await web.call(m.ip, self.ports["ready"], "GET", "/readyz", timeout=1) for m in self.edges]
             if all(reply and reply[0] == 200 for reply in replies):
-                await asyncio.sleep(10 if os.environ.get("LEAD") is None else float(os.environ["LEAD"]))
+                await asyncio.sleep(LEAD_S)
                 return
             await asyncio.sleep(0.2)
         raise RuntimeError("the gateways did not become ready")
@@ -225,6 +226,8 @@
 
 def run_case(folder, play):
     """Plays a case and exits with 1 if its rule was broken, 0 if it held, 2 if it could not run."""
+    # A case that is ended early still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as directory:
         deployment = Deployment(os.environ.get("KEEP", directory), **getattr(play, "options", {}))
         try:
