--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 PREFIX = "/lohu930/"
 TASK_MS = 640
 JOBS_PER_S = 7
-CRASHES = 5
+CRASHES = 8
 DOWN_S = 0.15
 FIRST_BEAT_S = 0.3
 
@@ -31,7 +31,7 @@
 
     loader = asyncio.ensure_future(load())
     for i in range(CRASHES):
-        await asyncio.sleep(5)
+        await asyncio.sleep(4)
         worker = deployment.workers[i % len(deployment.workers)]
         if TROUBLE:
             await worker.crash()
@@ -56,5 +56,5 @@
     return (1 if breaks else 0), f"{len(breaks)} breaks of TWICE, {len(record.runs)} runs, {done} of {len(ids)} jobs done"
 
 
-play.options = {"sides": 3}
+play.options = {"sides": 8}
 run_case(HERE, play)
