--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -178,12 +178,12 @@
         except json.JSONDecodeError:
             return reply[0], {}
 
-    async def submit(self, prefix, steps, ms, padding=0, tries=5, saves=False):
+    async def submit(self, prefix, steps, ms, padding=0, tries=5, saves=False, **schedule):
         """Hands a job in like a client; returns its ID if it was accepted."""
         job = "%016x" % random.getrandbits(64)
         spec = json.dumps({"ms": ms, "saves": saves, "pad": "x" * padding})
         for _ in range(tries):
-            reply = await self.ask("POST", prefix + job, {"spec": spec, "steps": steps})
+            reply = await self.ask("POST", prefix + job, {"spec": spec, "steps": steps, **schedule})
             if reply and 200 <= reply[0] < 300:
                 return job
             await asyncio.sleep(0.5)
