--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -22,12 +22,13 @@
         self.rows = {}  # (table, part, key) -> (value, version)
         self.history = []  # (version, table, part, key, value or None)
         self.version = 0
-        self.changed = asyncio.Condition()
+        self.changed = None  # made on the event loop that uses it
         self.parts = {}  # part -> lock: one transaction after another
         self.silent = False  # down: calls are neither carried out nor answered
         self.refused_rows = 0
 
     async def start(self):
+        self.changed = asyncio.Condition()
         await self.server.start()
 
     def stamp(self, out):
