Log what the store refuses, and its largest row

The logs could not tell two hypotheses apart: a transaction that the store never takes, and a store that is away. Nothing was logged when a write of the coordinator was refused.

The writer passes refused transactions to a hook, and the coordinator's process logs reason, number of rows, bytes and the largest row, at most once a second.

--- a/include/chiveglade/workflow/fenced_writer.h
+++ b/include/chiveglade/workflow/fenced_writer.h
@@ -59,6 +59,9 @@
     std::function<void(const char* why)> lost;
     // The leader row was read and names another holder. Optional.
     std::function<void(const leader_row&)> other_holder_seen;
+    // The store refused a write without any effect. Optional.
+    std::function<void(const reason& why, const store::transaction& change)>
+        write_refused;
     // The leader row cannot be decoded; it is taken as held by an unknown
     // process. Optional.
     std::function<void(const reason&)> row_unreadable;
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -34,6 +34,9 @@
 constexpr millis kEndedInterval{250};
 constexpr size_t kMaxEndedPerWrite = 100 / workflow::kEntriesPerEndedJob;
 
+// A store that is away refuses several writes a second.
+constexpr millis kRefusalLogInterval{1'000};
+
 // The prefixes that together cover a table of jobs.
 std::vector<std::string> DigitPrefixes(const std::string& table) {
   std::vector<std::string> out;
@@ -72,6 +75,10 @@
     OnLeader(row);
     Claim(row);
   };
+  to.write_refused = [this](const reason& why,
+                            const store::transaction& change) {
+    LogRefusedWrite(why, change);
+  };
   to.row_unreadable = [this](const reason& why) {
     hooks_.log("leader_row_unreadable", {{"reason", why.detail}});
   };
@@ -115,6 +122,33 @@
   overdue_age_ = is_overdue ? age : millis(0);
 }
 
+void coordinator_host::LogRefusedWrite(const reason& why,
+                                       const store::transaction& change) {
+  const auto now = hooks_.clock();
+  if (now - refusal_logged_at_ < kRefusalLogInterval) {
+    return;
+  }
+  refusal_logged_at_ = now;
+  size_t bytes = 0;
+  const store::mutation* largest = nullptr;
+  const auto size_of = [](const store::mutation& in) {
+    return in.value ? in.value->size() : 0;
+  };
+  for (const auto& mutation : change.mutations) {
+    bytes += size_of(mutation);
+    if (!largest || size_of(mutation) > size_of(*largest)) {
+      largest = &mutation;
+    }
+  }
+  hooks_.log("write_refused",
+             {{"reason", why.detail},
+              {"rows", std::to_string(change.mutations.size())},
+              {"bytes", std::to_string(bytes)},
+              {"largest", largest ? largest->key : ""},
+              {"largest_bytes",
+               std::to_string(largest ? size_of(*largest) : 0)}});
+}
+
 void coordinator_host::OnLeader(const workflow::leader_row& row) {
   if (row.epoch < leader_.epoch || row.epoch == 0) {
     return;
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -94,6 +94,9 @@
   void AdoptOperatorState();
   // Logs when news become overdue and when they have come.
   void LogNews(millis age);
+  // Logs what the store refused, so that a transaction beyond its limits can
+  // be told from an outage.
+  void LogRefusedWrite(const reason& why, const store::transaction& change);
   void OnGained(uint64_t epoch);
   void OnLost(const char* why);
   void ReadProgress();
@@ -146,6 +149,7 @@
   std::optional<workflow::candidate> handed_to_;  // while that is written
   boot_time claimed_at_{};
   bool writing_ended_ = false;
+  boot_time refusal_logged_at_{};
   boot_time informed_as_of_{};  // of all that `coordinator_` was given
   millis overdue_age_{0};       // of the news; zero: they are not overdue
   // What `coordinator_` was given last; null: nothing yet.
--- a/src/workflow/fenced_writer.cc
+++ b/src/workflow/fenced_writer.cc
@@ -220,6 +220,9 @@
       FinishWrite(write_status::kFenced, 0);
       return;
     case store::commit_status::kNotApplied:
+      if (hooks_.write_refused) {
+        hooks_.write_refused(outcome.why, pending_->change);
+      }
       if (pending_->was_ever_unknown) {
         pending_->outcome_unknown = true;
         pending_->retry_at = hooks_.clock() + options_.outcome_retry_interval;
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -154,6 +154,20 @@
   CHECK(world.RunUntil([&] { return world.Leader().ready; }));
 }
 
+TEST_CASE("what the store refuses is logged") {
+  host_world world;
+  world.store.SetLimits({SIZE_MAX, 9, SIZE_MAX});
+  for (const char* id : {"0a", "0b", "0c", "0d", "0e", "0f", "1a", "1b"}) {
+    world.AddJob(id);
+  }
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  REQUIRE(world.RunUntil([&] {
+    world.Report();
+    return world.Logged("write_refused reason=refused by the store rows=9");
+  }));
+}
+
 // Its tasks may be running or done, so it must not begin from the start.
 TEST_CASE("a job whose progress cannot be read is set aside") {
   host_world world;
--- a/tests/support/memory_store.cc
+++ b/tests/support/memory_store.cc
@@ -145,7 +145,23 @@
   }
 }
 
+bool memory_store::IsWithinLimits(const store::transaction& change) const {
+  size_t value_bytes = 0;
+  for (const auto& mutation : change.mutations) {
+    const size_t bytes = mutation.value ? mutation.value->size() : 0;
+    if (bytes > limits_.row_bytes) {
+      return false;
+    }
+    value_bytes += bytes;
+  }
+  return value_bytes <= limits_.value_bytes &&
+         change.conditions.size() + change.mutations.size() <= limits_.entries;
+}
+
 store::commit_outcome memory_store::Commit(const store::transaction& change) {
+  if (!IsWithinLimits(change)) {
+    return {store::commit_status::kNotApplied, 0, "", kRefused};
+  }
   for (const auto& [key, version] : change.conditions) {
     const auto at = rows_.find(key);
     if ((at == rows_.end() ? 0 : at->second.version) != version) {
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -25,6 +25,13 @@
 using store_fault_fn =
     std::function<store_fault(const std::string& call, const std::string& key)>;
 
+// A transaction beyond these limits is refused, whenever it is sent.
+struct store_limits {
+  size_t row_bytes = SIZE_MAX;
+  size_t entries = SIZE_MAX;      // conditions and mutations
+  size_t value_bytes = SIZE_MAX;  // of all rows together
+};
+
 // Single-threaded. The hooks returned by table() and objects() refer to this
 // object and must not outlive it. Callbacks run before the hook returns, or
 // from ReleaseHeld.
@@ -35,6 +42,8 @@
 
   void SetFaults(store_fault_fn faults) { faults_ = std::move(faults); }
 
+  void SetLimits(const store_limits& limits) { limits_ = limits; }
+
   // Executes held calls in order; their callbacks run now.
   void ReleaseHeld();
   // Ends held calls without effect, as lost requests.
@@ -72,7 +81,10 @@
                 const std::function<void()>& lost,
                 const std::function<void()>& refused);
 
+  bool IsWithinLimits(const store::transaction& change) const;
+
   store_fault_fn faults_;
+  store_limits limits_;
   store::row_page Page(const std::string& prefix,
                        const std::string& after,
                        size_t limit) const;
