Refuse a job that exceeds a row of the store at once

Callers saw: a job whose steps take more than 64 KiB as a row was refused with 503 and "retry-after", on each of its tries, though no try could succeed. Requests may have 262,144 bytes, so 300 steps with long labels are enough.

The row that the store refuses for good was repeated, since a refusal counted as an outage.

Change: the gateway knows the longest row (setting max_row_bytes, filled in from the platform's settings) and answers 413 without retry-after before it calls the store.

Test: "a job that exceeds a row of the store is refused at once" failed before (503 and a retry-after in place of 413).

--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -83,6 +83,7 @@
   double processor_speed = 1;
   double link_mbps = 0;
   millis store_timeout{600};
+  size_t max_row_bytes = size_t{64} * 1024;  // of a value in the store
   millis commit_interval{15};  // shortest time between two writes of progress
   millis leader_lease{1'400};  // silence after which another takes over
   millis run_grant{7'000};     // how long tasks outlive a silent coordinator
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -196,7 +196,8 @@
                        [this](const net::http_request& request, millis timeout,
                               const net::yield& yield) {
                          return relay->Forward(request, timeout, yield);
-                       }});
+                       },
+                       settings.max_row_bytes});
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -269,10 +269,7 @@
                                   const net::yield& yield) {
   auto job = platform::DecodeJob(body);
   if (!job) {
-    hooks_.log("job_refused", {{"job", in.id},
-                               {"queue", in.queue.name},
-                               {"reason", job.last_reason().detail}});
-    return Refuse(400, job.last_reason().code, job.last_reason().detail);
+    return RefuseJob(in, 400, job.last_reason());
   }
   workflow::submission accepted;
   accepted.queue = in.queue.name;
@@ -281,6 +278,11 @@
   accepted.attempts = in.queue.attempts;
   accepted.accepted_unix_ms = hooks_.unix_ms();
   accepted.job = *std::move(job);
+  auto row = workflow::EncodeSubmission(accepted);
+  if (row.size() > hooks_.max_row_bytes) {
+    return RefuseJob(in, 413,
+                     {"job_too_large", "the job exceeds a row of the store"});
+  }
   if (Access() != store_access::kDirect) {
     hooks_.log("job_not_accepted", {{"job", in.id},
                                     {"queue", in.queue.name},
@@ -288,8 +290,7 @@
                                     {"reason", ToString(Access())}});
     return Refuse(503, "store_away", "the store is out of reach at present");
   }
-  const auto change =
-      workflow::AcceptJob(in.id, workflow::EncodeSubmission(accepted));
+  const auto change = workflow::AcceptJob(in.id, std::move(row));
   const auto until =
       in.began + std::min(in.time_left - kAnswerMargin, kMaxSubmitTime);
   const auto refuse_at = in.began + in.queue.latency_target / kTargetShare;
@@ -302,8 +303,8 @@
       may_be_stored = true;
       // A read tells whether the write was only slow, without queueing a copy
       // behind it.
-      const auto row = Read(kJobPrefix + in.id, yield);
-      is_stored = row && *row;
+      const auto stored = Read(kJobPrefix + in.id, yield);
+      is_stored = stored && *stored;
     }
     const auto now = hooks_.clock();
     if (is_stored) {
@@ -335,6 +336,15 @@
   }
 }
 
+net::http_reply job_front::RefuseJob(const call& in,
+                                     int status,
+                                     const reason& why) {
+  hooks_.log(
+      "job_refused",
+      {{"job", in.id}, {"queue", in.queue.name}, {"reason", why.detail}});
+  return Refuse(status, why.code, why.detail);
+}
+
 net::http_reply job_front::Show(const call& in, const net::yield& yield) {
   const auto phase = FindPhase(in.id, yield);
   if (!phase) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -39,6 +39,8 @@
                                           millis timeout,
                                           const net::yield&)>
         forward;
+    // Longest value of a row that the store takes.
+    size_t max_row_bytes = size_t{64} * 1024;
   };
 
   job_front(strand on,
@@ -81,6 +83,8 @@
   net::http_reply Submit(const call& in,
                          const std::string& body,
                          const net::yield& yield);
+  // Logs and refuses a job that can never be accepted.
+  net::http_reply RefuseJob(const call& in, int status, const reason& why);
   net::http_reply Show(const call& in, const net::yield& yield);
   net::http_reply Cancel(const call& in, const net::yield& yield);
   net::http_reply Pending(const workflow::queue_policy& queue,
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -206,6 +206,23 @@
   CHECK(world.now - began <= millis(250) / 2);
 }
 
+// The store refuses a larger row, so the caller would retry for nothing.
+TEST_CASE("a job that exceeds a row of the store is refused at once") {
+  front_world world;
+  world.store.SetLimits({size_t{64} * 1024, SIZE_MAX, SIZE_MAX});
+  std::string steps;
+  for (int i = 0; i < 300; ++i) {
+    steps += (i ? "," : "") +
+             std::string(R"({"count":1,"cpu":1,"mem_mb":1,"image":")") +
+             std::string(300, 'i') + "\"}";
+  }
+  const auto reply = world.Send("POST", std::string("/jobs/") + kId,
+                                R"({"spec":"s","steps":[)" + steps + "]}");
+  CHECK(reply.status == 413);
+  CHECK(net::FindHeader(reply.headers, "retry-after").empty());
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+}
+
 TEST_CASE("states come from the stored rows while nobody coordinates") {
   front_world world;
   const std::string target = std::string("/jobs/") + kId;
