Keep a runner's report within a message whatever its checkpoints

What callers would see: all tasks of a VM lose their lease and run again elsewhere, for good.

Cause: a report has the checkpoints of all runs and of up to 500 ends, and a worker may give any length. A report above 1 MiB is rejected whole by the coordinator, and the runner sends it again with the same content.

Change: a checkpoint above 512 bytes, which could not be stored, is left out and logged (checkpoint_too_long); those of runs stop at 256 KiB in a report, since they matter only if the VM is lost. The limit of a message moves to workflow/message.h, so that what makes messages can keep to it.

--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -17,6 +17,9 @@
 namespace chiveglade::workflow {
 
 // How a run ended. Only kFailed counts as an attempt.
+// Longest message between processes, encoded. A longer one is rejected.
+constexpr size_t kMaxMessageBytes = size_t{1024} * 1024;
+
 enum class run_result : uint8_t {
   kDone,
   kFailed,
--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -143,6 +143,10 @@
   // already sent are stopped first.
   void DropExpiredStarts(boot_time now);
   void ApplyLists(const lease_reply& in, boot_time sent, boot_time now);
+  // Clears a checkpoint that is too long to be stored.
+  void DropLongCheckpoint(const run_key& run,
+                          std::string& checkpoint,
+                          boot_time now);
   // Returns the runs whose start calls the previous incarnation is not known to
   // have received, as runs to stop.
   std::map<run_key, tracked_run> TakeUnlocatedStarts(boot_time now);
@@ -219,6 +223,7 @@
   // The newest lists may lack runs or ends, so a run in neither is not settled.
   bool lists_complete_ = true;
   bool report_due_ = false;
+  boot_time long_checkpoint_logged_at_{};
   pacer pacer_;
   boot_time pace_updated_at_{};
 };
--- a/src/app/peer_call.cc
+++ b/src/app/peer_call.cc
@@ -1,5 +1,7 @@
 #include "peer_call.h"
 
+#include "chiveglade/workflow/message.h"
+
 namespace chiveglade::app {
 
 net::h2_options PeerOptions() {
@@ -23,7 +25,7 @@
                         {":scheme", "http"},
                         {":authority", address},
                         {":path", path}},
-                       body, kMaxPeerBytes, timeout, yield);
+                       body, workflow::kMaxMessageBytes, timeout, yield);
 }
 
 }  // namespace chiveglade::app
--- a/src/app/peer_call.h
+++ b/src/app/peer_call.h
@@ -21,10 +21,6 @@
 inline constexpr char kStorePath[] = "/store";      // 200 if it is reached
 inline constexpr char kRequestPath[] = "/request";  // body: a caller's request
 
-// Largest body of a message between processes. A report of 500 ends with all
-// fields at their longest stays below it.
-constexpr size_t kMaxPeerBytes = size_t{1024} * 1024;
-
 // Connections between processes are closed after this long without a byte: a
 // connection may go silent without a reset.
 constexpr millis kPeerIdleTimeout{2'400};
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -189,7 +189,7 @@
 void runner_role::parts::HandlePeer(const net::h2_stream_ptr& stream,
                                     const net::yield& yield) {
   const std::string path(net::FindHeader(stream->request_headers(), ":path"));
-  const auto body = ReadBody(*stream, kMaxPeerBytes, yield);
+  const auto body = ReadBody(*stream, workflow::kMaxMessageBytes, yield);
   if (!body) {
     stream->Reset(net::h2_error::kEnhanceYourCalm);
     return;
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -3,12 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "chiveglade/workflow/job_record.h"
+
 namespace chiveglade::workflow {
 
 namespace {
 
 // Start calls without a reply before the run is stopped and refused.
 constexpr uint32_t kMaxStartAttempts = 6;
+// Of all runs in a report, which has the checkpoints of up to 500 ends beside
+// them and must stay below kMaxMessageBytes.
+constexpr size_t kMaxReportedCheckpointBytes = size_t{256} * 1024;
 // With less than this left of the grant, a started run might lose its lease
 // before the next extension.
 constexpr millis kMinGrantForStart{300};
@@ -434,6 +439,24 @@
   }
 }
 
+void supervisor::DropLongCheckpoint(const run_key& run,
+                                    std::string& checkpoint,
+                                    boot_time now) {
+  // Each list of the worker repeats the checkpoints of its runs.
+  constexpr millis kLogInterval{1'000};
+  if (checkpoint.size() <= kMaxCheckpointBytes) {
+    return;
+  }
+  if (now - long_checkpoint_logged_at_ >= kLogInterval) {
+    long_checkpoint_logged_at_ = now;
+    Log("checkpoint_too_long",
+        {{"task", ToString(run.task)},
+         {"run", Text(run.run)},
+         {"bytes", Text(static_cast<int64_t>(checkpoint.size()))}});
+  }
+  checkpoint.clear();
+}
+
 void supervisor::ApplyLists(const lease_reply& in,
                             boot_time sent,
                             boot_time now) {
@@ -445,6 +468,7 @@
       continue;
     }
     ends_.push_back(end);
+    DropLongCheckpoint(end.run, ends_.back().checkpoint, now);
     report_due_ = true;
     runs_.erase(end.run);
   }
@@ -468,6 +492,7 @@
     }
     item.status = status;
     item.status.started = true;
+    DropLongCheckpoint(status.run, item.status.checkpoint, now);
     item.listed = true;
   }
   if (in.complete != lists_complete_) {
@@ -604,8 +629,14 @@
     out.complete = has_worker_clock_ && lists_complete_ && !refusing &&
                    lists_epoch_ == epoch_ &&
                    now - last_lease_reply_at_ < kMaxListAge;
+    size_t checkpoint_bytes = 0;
     for (const auto& [run, item] : runs_) {
       out.runs.push_back(item.status);
+      checkpoint_bytes += item.status.checkpoint.size();
+      if (checkpoint_bytes > kMaxReportedCheckpointBytes) {
+        // Needed only if the VM is lost; the end of the run has it too.
+        out.runs.back().checkpoint.clear();
+      }
       out.runs.back().pace = std::min(item.requested_percent, kFullPacePercent);
       if (item.latency_ms > 0) {
         out.runs.back().load = static_cast<int32_t>(item.latency_ms);
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "chiveglade/workflow/job_record.h"
 #include "chiveglade/workflow/supervisor.h"
 
 namespace chiveglade::workflow {
@@ -641,4 +642,40 @@
   CHECK_FALSE(world.last.omits_runs);
 }
 
+// The coordinator rejects a longer message, and the runner would repeat it for
+// good.
+TEST_CASE("a report stays within a message whatever checkpoints it holds") {
+  constexpr uint32_t kRuns = 1'500;
+  constexpr uint32_t kEnds = 500;
+  const size_t checkpoint_bytes = GENERATE(16, kMaxCheckpointBytes, 20'000);
+  fixture world;
+  lease_reply reply;
+  reply.status = call_status::kOk;
+  reply.clock_ms = world.ClockMs();
+  reply.incarnation = kIncarnation;
+  const std::string checkpoint(checkpoint_bytes, 'c');
+  for (uint32_t i = 0; i < kRuns; ++i) {
+    run_status status;
+    status.run = {{"00000000000000aa", 0, 0, i}, 1};
+    status.checkpoint = checkpoint;
+    reply.runs.push_back(status);
+  }
+  for (uint32_t i = 0; i < kEnds; ++i) {
+    const run_key run{{"00000000000000bb", 0, 0, i}, 1};
+    reply.ends.push_back({i + 1, run, run_result::kStopped, checkpoint});
+  }
+  world.now += millis(1'000);
+  const auto call = world.core->NextLease(world.now);
+  REQUIRE(call);
+  world.core->OnLeaseReply(*call, reply, world.now, world.now);
+  const auto report = world.core->MakeReport(world.now);
+  CHECK(report.runs.size() == kRuns);
+  CHECK(report.ends.size() == kEnds);
+  CHECK(Encode(report).size() < kMaxMessageBytes);
+  // What can be stored is reported, so that the task resumes from it.
+  const bool storable = checkpoint_bytes <= kMaxCheckpointBytes;
+  CHECK(report.ends.back().checkpoint == (storable ? checkpoint : ""));
+  CHECK(report.runs.front().checkpoint == (storable ? checkpoint : ""));
+}
+
 }  // namespace chiveglade::workflow
