Divide the orders to a VM into messages that its runner accepts

Cause: all starts for a VM went into one message, each with the payload of its job. The successor places several hundred tasks on a VM in one pass; the message exceeds 1 MiB, the runner rejects it, and the coordinator sends the same again after each report.

Change: orders are divided into messages of 128 KiB. Each is complete by itself, so order and loss of single ones do not matter. A process that rejects a message logs it.

Ruled out: expired orders (no order_expired line), and a larger limit: payload and number of starts have no common bound.

Test: "orders to one VM are divided into messages that it accepts" failed before (2,421,347 of 1,048,576 bytes).

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -259,6 +259,8 @@
   const std::string path(net::FindHeader(stream->request_headers(), ":path"));
   const auto body = ReadBody(*stream, workflow::kMaxMessageBytes, yield);
   if (!body) {
+    events.Write("message_rejected",
+                 {{"path", path}, {"reason", body.last_reason().code}});
     stream->Reset(net::h2_error::kEnhanceYourCalm);
     return;
   }
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -191,6 +191,8 @@
   const std::string path(net::FindHeader(stream->request_headers(), ":path"));
   const auto body = ReadBody(*stream, workflow::kMaxMessageBytes, yield);
   if (!body) {
+    Log("message_rejected",
+        {{"path", path}, {"reason", body.last_reason().code}});
     stream->Reset(net::h2_error::kEnhanceYourCalm);
     return;
   }
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -237,6 +237,14 @@
   void UpdateOwnLoads(vm_state& vm, boot_time now);
   void UpdateInterference(vm_state& vm, boot_time now);
   bool AcceptsStarts(const vm_state& vm, boot_time now) const;
+  // Returns a message to a VM without orders.
+  addressed_orders MakeOrders(const vm_state& vm) const;
+  start_order MakeStart(const run_key& run, const step_spec& step);
+  // Appends the messages with the orders that a VM is to get now; at least one,
+  // which acknowledges ends.
+  void AppendOrders(vm_state& vm,
+                    boot_time now,
+                    std::vector<addressed_orders>& out);
   // Whether what is known is recent enough to start tasks by it.
   bool IsInformed(boot_time now) const {
     return now - informed_as_of <= options.max_information_age;
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -18,6 +18,11 @@
 // A VM whose lease expires within this time gets no new tasks.
 constexpr millis kMinLeaseForStart{500};
 constexpr uint32_t kFullPacePercent = 100;
+// Orders to a VM that exceed this are divided among several messages. Far below
+// kMaxMessageBytes, so that a slow link delivers each in time.
+constexpr size_t kMaxOrdersBytes = size_t{128} * 1024;
+// An order without its texts, encoded.
+constexpr size_t kOrderBytes = 128;
 constexpr double kMillicoresPerCore = 1'000;
 // Minimum time between two samples of a VM. Measurements cover the last half
 // second.
@@ -304,6 +309,78 @@
          !out_of_service.contains(vm.last_report.data_centre);
 }
 
+coordinator::addressed_orders coordinator::state::MakeOrders(
+    const vm_state& vm) const {
+  addressed_orders out{vm.name, vm.last_report.address, {}};
+  out.message.epoch = options.epoch;
+  out.message.coordinator = options.address;
+  out.message.worker_incarnation = vm.last_report.worker_incarnation;
+  out.message.boot_clock_ms = vm.last_report.boot_clock_ms;
+  out.message.valid_for =
+      std::clamp(std::chrono::duration_cast<millis>(vm.lease_expires_at -
+                                                    vm.last_report_at),
+                 millis(0), kStartValidity);
+  out.message.acknowledged = vm.ends_durable;
+  return out;
+}
+
+void coordinator::state::AppendOrders(vm_state& vm,
+                                      boot_time now,
+                                      std::vector<addressed_orders>& out) {
+  out.push_back(MakeOrders(vm));
+  size_t bytes = 0;
+  // Returns the message that has room for an order of this size.
+  const auto message_for = [&](size_t order_bytes) -> orders& {
+    if (bytes > 0 && bytes + order_bytes > kMaxOrdersBytes) {
+      out.push_back(MakeOrders(vm));
+      bytes = 0;
+    }
+    bytes += order_bytes;
+    return out.back().message;
+  };
+  const bool may_start = AcceptsStarts(vm, now);
+  for (auto& [run, hosted] : vm.runs) {
+    if (!hosted.durable || hosted.last_order_at != boot_time{}) {
+      continue;
+    }
+    if (hosted.stopping) {
+      message_for(kOrderBytes).stops.push_back(run);
+    } else if (may_start && hosted.step) {
+      const auto start = MakeStart(run, *hosted.step);
+      auto& message = message_for(kOrderBytes + start.payload.size() +
+                                  start.checkpoint.size() + start.image.size());
+      if (message.starts.empty()) {
+        message.weights = interference.WeightsFor(ServingImages(vm));
+      }
+      message.starts.push_back(start);
+    } else {
+      continue;
+    }
+    hosted.last_order_at = now;
+  }
+  for (auto& [run, sent] : vm.unwanted_runs) {
+    if (now - sent > options.order_resend_timeout) {
+      sent = now;
+      message_for(kOrderBytes).stops.push_back(run);
+    }
+  }
+}
+
+start_order coordinator::state::MakeStart(const run_key& run,
+                                          const step_spec& step) {
+  const auto& job = *FindJob(run.task.job);
+  const auto& task =
+      job.record.tasks[run.task.occurrence][run.task.step][run.task.index];
+  return {run,
+          job.in.job.payload,
+          task.checkpoint,
+          "",
+          step.image,
+          step.best_effort,
+          step.demand.millicores,
+          step.latency_target};
+}
+
 std::vector<coordinator::addressed_orders> coordinator::TakeOrders(
     boot_time now) {
   std::vector<addressed_orders> out;
@@ -317,51 +394,10 @@
     if (!vm.has_reported) {
       continue;
     }
-    addressed_orders next{name, vm.last_report.address, {}};
-    auto& message = next.message;
-    message.epoch = state_->options.epoch;
-    message.coordinator = state_->options.address;
-    message.worker_incarnation = vm.last_report.worker_incarnation;
-    message.boot_clock_ms = vm.last_report.boot_clock_ms;
-    message.valid_for = std::clamp(std::chrono::duration_cast<millis>(
-                                       vm.lease_expires_at - vm.last_report_at),
-                                   millis(0), kStartValidity);
-    message.acknowledged = vm.ends_durable;
-    const bool may_start = state_->AcceptsStarts(vm, now);
     if (!informed) {
       state_->vms_with_held_starts.insert(name);
     }
-    for (auto& [run, hosted] : vm.runs) {
-      if (!hosted.durable || hosted.last_order_at != boot_time{}) {
-        continue;
-      }
-      if (hosted.stopping) {
-        message.stops.push_back(run);
-      } else if (may_start && hosted.step) {
-        const auto* job = state_->FindJob(run.task.job);
-        const auto& task =
-            job->record
-                .tasks[run.task.occurrence][run.task.step][run.task.index];
-        message.starts.push_back({run, job->in.job.payload, task.checkpoint, "",
-                                  hosted.step->image, hosted.step->best_effort,
-                                  hosted.step->demand.millicores,
-                                  hosted.step->latency_target});
-      } else {
-        continue;
-      }
-      hosted.last_order_at = now;
-    }
-    for (auto& [run, sent] : vm.unwanted_runs) {
-      if (now - sent > state_->options.order_resend_timeout) {
-        sent = now;
-        message.stops.push_back(run);
-      }
-    }
-    if (!message.starts.empty()) {
-      message.weights =
-          state_->interference.WeightsFor(state_->ServingImages(vm));
-    }
-    out.push_back(std::move(next));
+    state_->AppendOrders(vm, now, out);
   }
   return out;
 }
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -779,6 +780,46 @@
   CHECK(batch[0].key == progress_key{"bb", 500 / kTasksPerRow});
 }
 
+// Regression, review/4: a runner rejects a longer message, and the coordinator
+// sent it again for good.
+TEST_CASE("orders to one VM are divided into messages that it accepts") {
+  constexpr uint32_t kTasks = 600;
+  coordinator_fixture world;
+  auto vm = world.MakeReport("vm");
+  vm.capacity = {10'000'000, 10'000'000, 0};
+  world.Report(vm);
+  auto job = MakeSubmission({MakeStep(kTasks)});
+  job.job.payload.assign(4'000, 'p');
+  world.AddJob(kJob, job);
+  world.Tick();
+  world.Commit();
+  const auto check = [&](size_t starts, size_t stops) {
+    std::set<run_key> ordered;
+    size_t count = 0;
+    for (const auto& next : world.core->TakeOrders(world.now)) {
+      CHECK(next.vm == "vm");
+      CHECK(Encode(next.message).size() < kMaxMessageBytes);
+      for (const auto& start : next.message.starts) {
+        ordered.insert(start.run);
+        ++count;
+      }
+      ordered.insert(next.message.stops.begin(), next.message.stops.end());
+      count += next.message.stops.size();
+    }
+    CHECK(ordered.size() == starts + stops);
+    CHECK(count == starts + stops);
+  };
+  check(kTasks, 0);
+  check(0, 0);
+  // A message that did not arrive is sent again after the next report.
+  world.core->OnOrdersNotDelivered("vm");
+  world.now += millis(100);
+  world.ReportRunning("vm", {Run(0, 0)});
+  check(kTasks - 1, 0);
+  world.core->CancelJob(kJob, world.now);
+  check(0, kTasks);
+}
+
 TEST_CASE("a checkpoint is kept until its task is done, if it can be stored") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
