Keep all progress of a job that is set aside, and explain refused writes

Cause: since the progress of a job takes several rows, one that cannot be read left the others for deletion as rows of an ended job, and a later takeover could have taken the job for one that has not begun.

Change: rows of a job that is set aside stay. `explain` shows write_refused, orders_lost and message_rejected beside a job. The constant of the longest message no longer parts an enumeration from its comment.

Test: "one row that cannot be read keeps all progress of its job" failed before.

--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -16,10 +16,10 @@
 
 namespace chiveglade::workflow {
 
-// How a run ended. Only kFailed counts as an attempt.
 // Longest message between processes, encoded. A longer one is rejected.
 constexpr size_t kMaxMessageBytes = size_t{1024} * 1024;
 
+// How a run ended. Only kFailed counts as an attempt.
 enum class run_result : uint8_t {
   kDone,
   kFailed,
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -330,6 +330,9 @@
     recovered_ = true;
     ready_at_ = hooks_.clock();
     for (const auto& [id, rows] : std::exchange(progress_, {})) {
+      if (unreadable_.contains(id)) {
+        continue;  // Its other rows cannot be read; all are kept.
+      }
       for (const auto& [number, row] : rows) {
         coordinator_->AddLeftoverProgress({id, number});
       }
--- a/src/observe/timeline.cc
+++ b/src/observe/timeline.cc
@@ -12,13 +12,15 @@
 namespace {
 
 // Lines that are not about a job but may explain what happened to it.
-constexpr std::array<std::string_view, 15> kContextEvents = {
+constexpr std::array<std::string_view, 18> kContextEvents = {
     "coordinator_gained",
     "coordinator_lost",
     "coordinator_ready",
     "data_centre_changed",
     "fillers_paced",
     "heartbeat_of_another_worker",
+    "message_rejected",
+    "orders_lost",
     "runs_over",
     "store_access_changed",
     "store_away",
@@ -27,7 +29,8 @@
     "worker_lost",
     "worker_leaving",
     "worker_not_listening",
-    "coordinator_unreachable"};
+    "coordinator_unreachable",
+    "write_refused"};
 // The end of a run and the line that tells why come within this time.
 constexpr int64_t kSameMomentMs = 100;
 // Fillers below this share of their speed count as throttled.
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -221,6 +221,23 @@
   CHECK(world.store.Read("progress/0broken"));
 }
 
+TEST_CASE("one row that cannot be read keeps all progress of its job") {
+  host_world world;
+  world.AddJob("0broken", 40);
+  auto record = world.Record(40);
+  record.phase = workflow::job_phase::kRunning;
+  record.tasks[0][0][0].phase = workflow::task_phase::kDone;
+  world.AddProgress("progress/0broken", workflow::EncodeProgressRow(record, 0));
+  world.AddProgress("progress/0broken.1", "not CBOR");
+  world.AddProgress("progress/2gone", world.Done());
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.RunUntil([&] { return !world.store.Read("progress/2gone"); }));
+  CHECK_FALSE(world.host->FindJobView("0broken"));
+  CHECK(world.store.Read("progress/0broken"));
+  CHECK(world.store.Read("progress/0broken.1"));
+}
+
 TEST_CASE(
     "a holder that hears nothing of operators or callers starts nothing") {
   host_world world;
