Take an exit notice for an end only after the worker has drained

What workers see: a task that is started again elsewhere while it runs, or after its end was acknowledged (TWICE).

Cause: an exit notice that was answered late, or sent by the life before under the same name, together with one refused connection counted as the end of the worker, which runs on under its lease.

Change: the two prove an end only if the worker has said that it drains, as a worker does before its notice. Otherwise its runs count until the latest end of its lease.

"a worker that has announced its exit runs on until it is gone" said that a notice and a refused call end a worker that has not drained; its case is replaced by two: one that has drained ends at once, one that has not keeps its runs until its lease is over.

--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -174,8 +174,10 @@
     report_due_ = true;
   }
   // A worker that cannot be reached may run on until its lease is over. One
-  // that has announced its exit and no longer listens has ended.
-  const bool exited = exit_announced_ && connect_refused_since_ != boot_time{};
+  // that has drained, announced its exit and no longer listens has ended. A
+  // notice without draining may be of its life before.
+  const bool exited = exit_announced_ && heartbeat_.draining &&
+                      connect_refused_since_ != boot_time{};
   const bool lease_over = now > latest_lease_end_;
   const bool silent = now - last_heartbeat_at_ > options_.heartbeat_timeout &&
                       now - last_lease_reply_at_ > options_.heartbeat_timeout;
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -208,7 +208,7 @@
     const size_t at = pick(kRunners);
     switch (pick(6)) {
       case 0:
-        world.AnnounceExit(0);
+        world.AnnounceExit(at);
         break;
       case 1:
         world.SendForeignHeartbeat(at);
@@ -223,8 +223,7 @@
         world.RestartRunner(at);
         break;
       default:
-        // Not the one whose exit is announced: both together count as its end.
-        world.SetWorkerRefusing(1 + pick(kRunners - 1), pick(2) == 0);
+        world.SetWorkerRefusing(at, pick(2) == 0);
         break;
     }
   }
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -525,12 +525,31 @@
   CHECK(world.last.runs[0].run == fixture::Run(0));
   const auto lease = world.Lease({fixture::Run(0)}, {});
   CHECK(lease.lease_until_ms > 0);
-  SECTION("it ends") {
+  SECTION("it has drained and ends") {
+    worker_heartbeat heartbeat;
+    heartbeat.instance = "i-1";
+    heartbeat.incarnation = kIncarnation;
+    heartbeat.sequence = 2;
+    heartbeat.draining = true;
+    world.core->OnHeartbeat(heartbeat, world.now);
     world.FailLease(call_status::kNotListening, millis(5));
     world.Report();
     CHECK(world.last.phase == worker_phase::kGone);
     CHECK(world.last.runs.empty());
   }
+  SECTION("it has not drained and is out of reach") {
+    for (int i = 0; i < 10; ++i) {
+      world.FailLease(call_status::kNotListening, millis(100));
+    }
+    world.Report();
+    CHECK(world.last.phase != worker_phase::kGone);
+    CHECK(world.last.runs.size() == 1);
+    // Until the latest end of its lease.
+    world.now += WithClockMargin(millis(7'000));
+    world.FailLease(call_status::kNotListening, millis(5));
+    world.Report();
+    CHECK(world.last.phase == worker_phase::kGone);
+  }
   SECTION("it still drains") {
     worker_heartbeat heartbeat;
     heartbeat.instance = "i-1";
