Pass over a heartbeat that contradicts those before

What operators would see: a VM that gets no tasks of its service, or one that is given tasks while its worker drains.

Cause: any heartbeat with the worker's start time was taken. One of another writer with another service moved the VM to that service, and one with a high sequence number made all later ones look delayed, so that draining was not noticed.

Change: a heartbeat that names another instance or service than the last one of the same life, or whose number is beyond what the time since then allows, is logged and passed over. Two in a row that agree outweigh what was known, so a first heartbeat of another writer does not shut out the worker's own.

The workers of other tests now name their service in each heartbeat, as the platform requires; some left it out.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -51,9 +51,10 @@
  public:
   explicit supervisor(supervisor_options options);
 
-  // Returns false if the heartbeat is of an older incarnation, out of sequence
-  // or from a worker that has announced its exit. One of a later incarnation
-  // takes effect once the worker itself has replied as that incarnation.
+  // Returns false if the heartbeat is of an older incarnation or out of
+  // sequence, or if it contradicts those before and no second one agrees with
+  // it. One of a later incarnation takes effect once the worker itself has
+  // replied as that incarnation.
   bool OnHeartbeat(const worker_heartbeat& in, boot_time now);
   // Handles the worker's notice that it is exiting. It gets no new runs, and is
   // gone once it no longer listens. A later heartbeat that does not drain voids
@@ -158,6 +159,9 @@
   void CheckUnconfirmedHeartbeat(int64_t incarnation,
                                  boot_time sent,
                                  boot_time now);
+  // True if a heartbeat of the current incarnation cannot follow the last one:
+  // it names another instance or service, or its sequence number is too high.
+  bool Contradicts(const worker_heartbeat& in, boot_time now) const;
   // Adopts a heartbeat of the current incarnation.
   void TakeHeartbeat(const worker_heartbeat& in, boot_time now);
   void UpdatePace(boot_time now);
@@ -184,6 +188,8 @@
   bool exit_announced_ = false;     // the worker sent an exit notice
   bool reported_refusing_ = false;  // IsRefusing() has been logged
   boot_time last_heartbeat_at_{};
+  // The last heartbeat, if it contradicts `heartbeat_`.
+  std::optional<worker_heartbeat> contradicting_heartbeat_;
   // The worker's clock in its newest lease reply. A lower bound, since the
   // reply took time to arrive.
   int64_t worker_clock_ms_ = 0;
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -11,6 +11,10 @@
 
 // Interval between probes while the worker does not reply.
 constexpr millis kProbeRetryInterval{300};
+// A worker numbers its heartbeats one by one and sends them no faster than
+// this; some may have gone elsewhere or been lost.
+constexpr millis kMinHeartbeatInterval{100};
+constexpr uint64_t kSequenceMargin = 100;
 
 }  // namespace
 
@@ -59,6 +63,7 @@
   latest_lease_end_ = now + WithClockMargin(options_.worker_lease);
   last_lease_reply_at_ = now;
   heartbeat_ = {};
+  contradicting_heartbeat_.reset();
   report_due_ = true;
 }
 
@@ -77,10 +82,36 @@
     incarnation_confirmed_ = false;
     return true;
   }
+  if (Contradicts(in, now)) {
+    const auto earlier = std::exchange(contradicting_heartbeat_, in);
+    // Two in a row that agree outweigh one that may have been another writer's.
+    const bool confirmed = earlier && earlier->instance == in.instance &&
+                           earlier->service == in.service &&
+                           earlier->sequence < in.sequence;
+    if (!confirmed) {
+      Log("heartbeat_of_another_worker",
+          {{"instance", in.instance},
+           {"service", in.service},
+           {"sequence", std::to_string(in.sequence)},
+           {"last_sequence", std::to_string(heartbeat_.sequence)}});
+      return false;
+    }
+  }
   TakeHeartbeat(in, now);
   return true;
 }
 
+bool supervisor::Contradicts(const worker_heartbeat& in, boot_time now) const {
+  if (!has_heartbeat_) {
+    return false;
+  }
+  const auto highest =
+      heartbeat_.sequence + kSequenceMargin +
+      static_cast<uint64_t>((now - last_heartbeat_at_) / kMinHeartbeatInterval);
+  return in.instance != heartbeat_.instance ||
+         in.service != heartbeat_.service || in.sequence > highest;
+}
+
 void supervisor::TakeHeartbeat(const worker_heartbeat& in, boot_time now) {
   if (worker_gone_) {
     worker_gone_ = false;
@@ -100,6 +131,7 @@
     report_due_ = true;
   }
   heartbeat_ = in;
+  contradicting_heartbeat_.reset();
   has_heartbeat_ = true;
   last_heartbeat_at_ = now;
 }
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -63,6 +63,7 @@
   void HearNextIncarnation() {
     ++incarnation;
     worker_heartbeat heartbeat;
+    heartbeat.service = "service";
     heartbeat.instance = "i-1";
     heartbeat.incarnation = incarnation;
     heartbeat.sequence = 1;
@@ -215,6 +216,7 @@
 TEST_CASE("a draining worker starts nothing") {
   fixture world;
   worker_heartbeat heartbeat;
+  heartbeat.service = "service";
   heartbeat.instance = "i-1";
   heartbeat.incarnation = kIncarnation;
   heartbeat.sequence = 2;
@@ -323,6 +325,7 @@
   CHECK(world.last.runs.empty());
   CHECK(world.core->TakeStops(world.now).empty());
   worker_heartbeat heartbeat;
+  heartbeat.service = "service";
   heartbeat.incarnation = kIncarnation;
   CHECK_FALSE(world.core->OnHeartbeat(heartbeat, world.now));
 }
@@ -433,6 +436,52 @@
   CHECK(world.core->TakeStarts(world.now).size() == 1);
 }
 
+// Another writer may know name and start time of the worker. Its heartbeat
+// moved the VM to another service, or made all later heartbeats look delayed,
+// so that draining was not noticed.
+TEST_CASE("a heartbeat that contradicts those before does not take effect") {
+  fixture world;
+  const auto hear = [&](const std::string& service, uint64_t sequence,
+                        bool draining) {
+    worker_heartbeat heartbeat;
+    heartbeat.instance = "i-1";
+    heartbeat.incarnation = kIncarnation;
+    heartbeat.sequence = sequence;
+    heartbeat.service = service;
+    heartbeat.capacity = {16'000, 64'000, 0};
+    heartbeat.draining = draining;
+    const bool taken = world.core->OnHeartbeat(heartbeat, world.now);
+    world.now += millis(1'500);
+    world.Report();
+    return taken;
+  };
+  SECTION("it names another service") {
+    CHECK_FALSE(hear("other", 2, false));
+    CHECK(world.last.service == "service");
+    CHECK(hear("service", 2, false));
+    CHECK_FALSE(hear("other", 3, false));
+    CHECK(hear("service", 3, true));
+    CHECK(world.last.service == "service");
+  }
+  SECTION("its sequence number is too high") {
+    CHECK_FALSE(hear("service", UINT64_MAX, false));
+    CHECK(hear("service", 2, true));
+    CHECK(world.last.phase == worker_phase::kDraining);
+  }
+  SECTION("heartbeats were lost for minutes") {
+    world.now += millis(600'000);
+    CHECK(hear("service", 2 + 400, false));
+  }
+  SECTION("the first one was the other writer's") {
+    CHECK_FALSE(hear("other", 2, false));
+    CHECK(hear("other", 3, false));
+    CHECK(world.last.service == "other");
+    CHECK_FALSE(hear("service", 4, false));
+    CHECK(hear("service", 5, false));
+    CHECK(world.last.service == "service");
+  }
+}
+
 // Regression, review/1: a worker lists its oldest ends only, and runs whose
 // ends were not among them counted as never started and ran again.
 TEST_CASE("a run that is missing from a cut list of ends is not refused") {
@@ -527,6 +576,7 @@
   CHECK(lease.lease_until_ms > 0);
   SECTION("it has drained and ends") {
     worker_heartbeat heartbeat;
+    heartbeat.service = "service";
     heartbeat.instance = "i-1";
     heartbeat.incarnation = kIncarnation;
     heartbeat.sequence = 2;
@@ -552,6 +602,7 @@
   }
   SECTION("it still drains") {
     worker_heartbeat heartbeat;
+    heartbeat.service = "service";
     heartbeat.instance = "i-1";
     heartbeat.incarnation = kIncarnation;
     heartbeat.sequence = 2;
@@ -562,6 +613,7 @@
   }
   SECTION("the notice was of its life before") {
     worker_heartbeat heartbeat;
+    heartbeat.service = "service";
     heartbeat.instance = "i-1";
     heartbeat.incarnation = kIncarnation;
     heartbeat.sequence = 2;
