--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -346,13 +346,13 @@
     if (hosted.stopping) {
       message_for(kOrderBytes).stops.push_back(run);
     } else if (may_start && hosted.step) {
-      const auto start = MakeStart(run, *hosted.step);
+      auto start = MakeStart(run, *hosted.step);
       auto& message = message_for(kOrderBytes + start.payload.size() +
                                   start.checkpoint.size() + start.image.size());
       if (message.starts.empty()) {
         message.weights = interference.WeightsFor(ServingImages(vm));
       }
-      message.starts.push_back(start);
+      message.starts.push_back(std::move(start));
     } else {
       continue;
     }
