Start a gateway also where the store's rows are short

With max_row_bytes below 32 KiB a gateway did not start. Rows of progress exceed a shorter limit only for jobs with many long checkpoints, so it starts and logs store_rows_too_short.

--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -399,6 +399,11 @@
               {{"name", settings.name},
                {"callers", callers ? ToString(*callers) : ""},
                {"peers", ToString(settings.peer_listen)}});
+  if (settings.max_row_bytes < workflow::kMaxProgressRowBytes) {
+    parts_->Log("store_rows_too_short",
+                {{"max_row_bytes", std::to_string(settings.max_row_bytes)},
+                 {"needed", std::to_string(workflow::kMaxProgressRowBytes)}});
+  }
   lifecycle cycle(parts_->loop, settings.shutdown_grace);
   cycle.OnReload([this] {
     // All settings are addresses and limits of this life of the process.
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -79,9 +79,6 @@
            });
 }
 
-// Rows of progress are at most this long.
-constexpr int64_t kMinRowBytes = 32'768;
-
 void ReadEntry(json_reader& in, entry_settings& out) {
   in.Name("name", out.name, presence::kRequired,
           "Name of this entry, unique among those that run at one time.");
@@ -185,8 +182,8 @@
           "Link of this VM, in Mbit/s. 0: unknown.");
   in.Duration("store_timeout_ms", out.store_timeout, {10, 60'000},
               "Longest wait for progress of one call to the store.");
-  in.Number("max_row_bytes", out.max_row_bytes,
-            {kMinRowBytes, int64_t{1} << 30}, presence::kOptional,
+  in.Number("max_row_bytes", out.max_row_bytes, {1'024, int64_t{1} << 30},
+            presence::kOptional,
             "Longest value of a row that the store takes, in bytes. A job that "
             "exceeds it is refused.");
   in.Duration("commit_interval_ms", out.commit_interval, {1, 1'000},
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -143,7 +143,7 @@
     rows.push_back({{job.id, row}, EncodeProgressRow(job.record, row)});
     job_bytes += rows.back().record->size();
   }
-  // The rows of one job always fit, see kMaxProgressRowBytes.
+  // The rows of one job always fit, see job_record.h.
   if (!batch.empty() && (batch.size() + rows.size() > kMaxBatchEntries ||
                          bytes + job_bytes > kMaxBatchBytes)) {
     return false;
