--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -770,7 +770,7 @@
     rows += batch.size();
     world.core->OnCommitted(world.now);
   }
-  CHECK(rows == 4 * ProgressRowCount(MakeJobRecord(job.job)));
+  CHECK(rows == size_t{4} * ProgressRowCount(MakeJobRecord(job.job)));
   // From then on only the rows that change are written.
   vm.sequence = ++world.sequence;
   vm.ends.push_back({1, {{"bb", 0, 0, 500}, 1}, run_result::kDone, ""});
