Close the port of a server before its connections

A client that lost its connection to a stopping server could connect again, send, and be cut off: a request that never ran counted as one that may have run, so callers lost a retry.

Cause: the listening socket was closed in a callback on the strand of the acceptor, the connections at once. Ruled out: a reused connection, since one is kept only after a reply.

Both servers get one listener in place of an accept loop each. Close() shuts the socket down before it returns, on any thread. Drain() waits for the accept that is under way; before, an HTTP/2 server reset that connection.

"delivery tells refused, lost and unsent requests apart" allowed 10,000 connections after a stop; now none.

--- a/src/net/h2_server.cc
+++ b/src/net/h2_server.cc
@@ -2,8 +2,6 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -23,67 +21,44 @@
                        public std::enable_shared_from_this<h2_server_impl> {
  public:
   h2_server_impl(asio::io_context& loop,
-                 asio::ip::tcp::acceptor acceptor,
+                 std::shared_ptr<listener> from,
                  const h2_options& options,
                  h2_handler handler)
       : loop_(loop),
-        acceptor_(std::move(acceptor)),
-        pause_(acceptor_.get_executor()),
-        port_(acceptor_.local_endpoint().port()),
+        listener_(std::move(from)),
         options_(options),
         handler_(std::make_shared<const h2_handler>(std::move(handler))) {}
 
-  // Accepts with callbacks: a suspended coroutine would have to be unwound
-  // whenever an event loop is destroyed with a server on it.
-  void AcceptNext() {
-    auto self = shared_from_this();
-    acceptor_.async_accept(asio::make_strand(loop_),
-                           [self](const boost::system::error_code& error,
-                                  asio::ip::tcp::socket socket) {
-                             if (!error) {
-                               self->Add(std::move(socket));
-                             }
-                             self->Continue(error);
-                           });
+  void Start() {
+    listener_->Start([self = shared_from_this()](asio::ip::tcp::socket socket) {
+      self->Add(std::move(socket));
+    });
   }
 
-  asio::any_io_executor executor() { return acceptor_.get_executor(); }
-  uint16_t port() const override { return port_; }
+  uint16_t port() const override { return listener_->port(); }
 
+  // Peers of the backlog get a GOAWAY, which says that nothing ran, and not a
+  // reset.
   void Drain(std::function<void()> drained) override {
-    asio::dispatch(acceptor_.get_executor(),
-                   [self = shared_from_this(), drained = std::move(drained)] {
-                     self->AcceptBacklog();
-                     self->StopAccepting();
-                     self->FinishAll(drained);
-                   });
+    listener_->Drain([self = shared_from_this(), drained = std::move(drained)] {
+      self->FinishAll(drained);
+    });
   }
 
   void Stop() override {
-    StopAccepting();
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    // Comes before any connection is closed: a peer that connects again must be
+    // refused, not accepted and cut off.
+    listener_->Close();
     ForEach([](h2_connection& open) {
       open.Abort({"connection_lost", "the server was stopped"});
     });
   }
 
  private:
-  void Continue(const boost::system::error_code& last) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (!last) {
-      AcceptNext();
-      return;
-    }
-    pause_.expires_after(millis(kAcceptRetryMs));
-    pause_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code&) {
-          if (self->acceptor_.is_open()) {
-            self->AcceptNext();
-          }
-        });
-  }
-
   void Add(asio::ip::tcp::socket socket) {
     const std::lock_guard lock(mutex_);
     if (stopping_ || connections_.size() >= kMaxConnections) {
@@ -105,23 +80,10 @@
     ReportIfDrained();
   }
 
-  // Takes the connections that the system has accepted already, so that their
-  // peers get a GOAWAY, which says that nothing ran, and not a reset.
-  void AcceptBacklog() {
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      asio::ip::tcp::socket socket(asio::make_strand(loop_));
-      acceptor_.accept(socket, error);
-      if (!error) {
-        Add(std::move(socket));
-      }
-    }
-  }
-
   void FinishAll(std::function<void()> drained) {
     {
       const std::lock_guard lock(mutex_);
+      stopping_ = true;
       drained_ = std::move(drained);
     }
     ForEach([](h2_connection& open) { open.Finish(); });
@@ -152,21 +114,8 @@
     }
   }
 
-  void StopAccepting() {
-    {
-      const std::lock_guard lock(mutex_);
-      stopping_ = true;
-    }
-    asio::dispatch(acceptor_.get_executor(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-    });
-  }
-
   asio::io_context& loop_;
-  asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer pause_;
-  const uint16_t port_;
+  const std::shared_ptr<listener> listener_;
   const h2_options options_;
   const std::shared_ptr<const h2_handler> handler_;
 
@@ -184,13 +133,13 @@
                                                    uint16_t port,
                                                    h2_options options,
                                                    h2_handler handler) {
-  auto acceptor = Listen(loop, ip, port);
-  if (!acceptor) {
-    return acceptor.last_reason();
+  auto from = listener::Make(loop, ip, port);
+  if (!from) {
+    return from.last_reason();
   }
   const auto out = std::make_shared<h2_server_impl>(
-      loop, *std::move(acceptor), options, std::move(handler));
-  asio::dispatch(out->executor(), [out] { out->AcceptNext(); });
+      loop, *std::move(from), options, std::move(handler));
+  out->Start();
   return std::shared_ptr<h2_server>(out);
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,8 +1,5 @@
 #include "chiveglade/net/http_server.h"
 
-#include <boost/asio/dispatch.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -21,33 +18,20 @@
 class http_server_impl : public http_server,
                          public std::enable_shared_from_this<http_server_impl> {
  public:
-  http_server_impl(asio::io_context& loop,
-                   asio::ip::tcp::acceptor acceptor,
+  http_server_impl(std::shared_ptr<listener> from,
                    http_server_options options,
                    http_handler handler)
-      : loop_(loop),
-        acceptor_(std::move(acceptor)),
-        pause_(acceptor_.get_executor()),
-        port_(acceptor_.local_endpoint().port()),
+      : listener_(std::move(from)),
         options_(options),
         handler_(std::make_shared<const http_handler>(std::move(handler))) {}
 
-  // Accepts with callbacks: a suspended coroutine would have to be unwound
-  // whenever an event loop is destroyed with a server on it.
-  void AcceptNext() {
-    auto self = shared_from_this();
-    acceptor_.async_accept(asio::make_strand(loop_),
-                           [self](const boost::system::error_code& error,
-                                  asio::ip::tcp::socket socket) {
-                             if (!error) {
-                               self->Add(std::move(socket));
-                             }
-                             self->Continue(error);
-                           });
+  void Start() {
+    listener_->Start([self = shared_from_this()](asio::ip::tcp::socket socket) {
+      self->Add(std::move(socket));
+    });
   }
 
-  asio::any_io_executor executor() { return acceptor_.get_executor(); }
-  uint16_t port() const override { return port_; }
+  uint16_t port() const override { return listener_->port(); }
 
   void Drain(std::function<void()> drained) override {
     StopAccepting();
@@ -72,23 +56,6 @@
   }
 
  private:
-  void Continue(const boost::system::error_code& last) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (!last) {
-      AcceptNext();
-      return;
-    }
-    pause_.expires_after(millis(kAcceptRetryMs));
-    pause_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code&) {
-          if (self->acceptor_.is_open()) {
-            self->AcceptNext();
-          }
-        });
-  }
-
   void Add(asio::ip::tcp::socket socket) {
     const std::lock_guard lock(mutex_);
     const size_t open = connections_.size();
@@ -119,21 +86,17 @@
     drained();
   }
 
+  // Comes before any connection is closed: a peer that connects again must be
+  // refused, not accepted and cut off.
   void StopAccepting() {
     {
       const std::lock_guard lock(mutex_);
       stopping_ = true;
     }
-    asio::dispatch(acceptor_.get_executor(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-    });
+    listener_->Close();
   }
 
-  asio::io_context& loop_;
-  asio::ip::tcp::acceptor acceptor_;
-  asio::steady_timer pause_;
-  const uint16_t port_;
+  const std::shared_ptr<listener> listener_;
   const http_server_options options_;
   const std::shared_ptr<const http_handler> handler_;
 
@@ -152,13 +115,13 @@
     uint16_t port,
     http_server_options options,
     http_handler handler) {
-  auto acceptor = Listen(loop, ip, port);
-  if (!acceptor) {
-    return acceptor.last_reason();
+  auto from = listener::Make(loop, ip, port);
+  if (!from) {
+    return from.last_reason();
   }
-  const auto out = std::make_shared<http_server_impl>(
-      loop, *std::move(acceptor), options, std::move(handler));
-  asio::dispatch(out->executor(), [out] { out->AcceptNext(); });
+  const auto out = std::make_shared<http_server_impl>(*std::move(from), options,
+                                                      std::move(handler));
+  out->Start();
   return std::shared_ptr<http_server>(out);
 }
 
--- a/tests/net/h2_test.cc
+++ b/tests/net/h2_test.cc
@@ -182,15 +182,28 @@
     CHECK(lost->ReadHeaders(yield).last_reason().code == "connection_lost");
     CHECK(lost->delivery() == verdict::kMayHaveRun);
 
-    // The listening socket is closed soon after the connections.
-    auto next = client->Open(with("/x"), true, yield);
-    for (int i = 0; next && i < 10'000; ++i) {
-      next = client->Open(with("/x"), true, yield);
-    }
-    CHECK(next.last_reason().code == "connect_failed");
+    CHECK(client->Open(with("/x"), true, yield).last_reason().code ==
+          "connect_failed");
   });
 }
 
+// Guards against a stop that closes connections while the port still accepts
+// new ones: a client that connects again is cut off, and a request that never
+// ran has to be taken for one that may have run.
+TEST_CASE("a stopped HTTP/2 server refuses connections before it closes any") {
+  for (int round = 0; round < 100; ++round) {
+    loop_runner runner(4);
+    const auto server = Serve(runner, Echo);
+    raw_peer peer(server->port());
+    const connection_flood flood(server->port());
+    std::string settings(9, ' ');
+    asio::read(peer.socket(), asio::buffer(settings));
+    server->Stop();
+    (void)peer.ReadAll();
+    REQUIRE_FALSE(AcceptsConnections(server->port()));
+  }
+}
+
 // Guards against a departure that cuts requests in flight, or that leaves a
 // client without a way to the successor.
 TEST_CASE("GOAWAY lets open streams finish and the client reconnects") {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -182,6 +182,44 @@
   });
 }
 
+// Guards against a stop that closes connections while the port still accepts
+// new ones: a client that connects again is cut off, and a request that never
+// ran has to be taken for one that may have run.
+TEST_CASE("a stopped HTTP server refuses connections before it closes any") {
+  for (int round = 0; round < 100; ++round) {
+    loop_runner runner(4);
+    const auto server = Serve(runner, {});
+    raw_peer peer(server->port());
+    const connection_flood flood(server->port());
+    peer.Send("GET / HTTP/1.1\r\n\r\n");
+    std::string answer(15, ' ');
+    asio::read(peer.socket(), asio::buffer(answer));
+    server->Stop();
+    (void)peer.ReadAll();
+    REQUIRE_FALSE(AcceptsConnections(server->port()));
+  }
+}
+
+// Guards against the same fault in a drain, which closes idle connections.
+TEST_CASE("a draining HTTP server refuses connections before it closes any") {
+  for (int round = 0; round < 100; ++round) {
+    loop_runner runner(4);
+    const auto server = Serve(runner, {});
+    raw_peer peer(server->port());
+    const connection_flood flood(server->port());
+    std::atomic<bool> refused = false;
+    std::promise<void> drained;
+    server->Drain([&] {
+      refused = !AcceptsConnections(server->port());
+      drained.set_value();
+    });
+    CHECK(peer.ReadAll().empty());
+    REQUIRE_FALSE(AcceptsConnections(server->port()));
+    drained.get_future().get();
+    REQUIRE(refused);
+  }
+}
+
 // Guards against a client that waits for ever for a stuck server.
 TEST_CASE("an answer that does not come in time may have run") {
   loop_runner runner;
--- a/tests/net/net_fixture.h
+++ b/tests/net/net_fixture.h
@@ -81,6 +81,37 @@
   asio::ip::tcp::socket socket_;
 };
 
+// True if a connection to `port` on loopback is accepted.
+inline bool AcceptsConnections(uint16_t port) {
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  boost::system::error_code error;
+  socket.connect({asio::ip::address_v4::loopback(), port}, error);
+  return !error;
+}
+
+// Connects to `port` again and again, so that its listener is always busy,
+// until a connection is refused.
+class connection_flood {
+ public:
+  explicit connection_flood(uint16_t port, int threads = 4) {
+    for (int i = 0; i < threads; ++i) {
+      threads_.emplace_back([port] {
+        while (AcceptsConnections(port)) {
+        }
+      });
+    }
+  }
+  ~connection_flood() {
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+  }
+
+ private:
+  std::vector<std::thread> threads_;
+};
+
 }  // namespace chiveglade::net
 
 #endif  // CHIVEGLADE_TESTS_NET_NET_FIXTURE_H_
