--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -67,8 +67,7 @@
 
 enum class worker_phase : uint8_t {
   // No heartbeat yet, so capacity and service are unknown. Also while the
-  // worker
-  // refuses connections, since its runs may go on.
+  // worker refuses connections, since its runs may go on.
   kUnknown,
   kReady,
   kDraining,  // accepts no new runs
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -18,18 +18,33 @@
     options.address = "runner";
     options.runner_incarnation = "life";
     core.emplace(std::move(options));
-    worker_heartbeat heartbeat;
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = kIncarnation;
-    heartbeat.sequence = 1;
-    heartbeat.service = "service";
-    heartbeat.capacity = {16'000, 64'000, 0};
-    core->OnHeartbeat(heartbeat, now);
+    core->OnHeartbeat(MakeHeartbeat(1), now);
     core->OnCoordinator(1, "coordinator");
     Lease({}, {});
     Report();
   }
 
+  // A heartbeat of the worker in its current incarnation.
+  worker_heartbeat MakeHeartbeat(uint64_t sequence,
+                                 bool draining = false) const {
+    worker_heartbeat out;
+    out.instance = "i-1";
+    out.incarnation = incarnation;
+    out.sequence = sequence;
+    out.service = "service";
+    out.capacity = {16'000, 64'000, 0};
+    out.draining = draining;
+    return out;
+  }
+
+  // Orders a run, starts it and has the worker list it.
+  void StartRun(uint32_t index) {
+    Order({Start(index)});
+    const auto call = core->TakeStarts(now).at(0);
+    core->OnStartReply(call, call_status::kOk, now, now);
+    Lease({Run(index)}, {});
+  }
+
   void Report(millis grant = kGrant, uint64_t acknowledged = 0) {
     last = core->MakeReport(now);
     core->OnReportReply(last, {core->epoch(), grant, incarnation, acknowledged},
@@ -62,13 +77,7 @@
   // the worker then confirms.
   void HearNextIncarnation() {
     ++incarnation;
-    worker_heartbeat heartbeat;
-    heartbeat.service = "service";
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = incarnation;
-    heartbeat.sequence = 1;
-    heartbeat.capacity = {16'000, 64'000, 0};
-    REQUIRE(core->OnHeartbeat(heartbeat, now));
+    REQUIRE(core->OnHeartbeat(MakeHeartbeat(1), now));
     Probe();
   }
 
@@ -416,10 +425,7 @@
 // a runner for good, and all its tasks ran elsewhere too.
 TEST_CASE("a heartbeat that is not the worker's does not replace it") {
   fixture world;
-  world.Order({fixture::Start(0)});
-  const auto call = world.core->TakeStarts(world.now).at(0);
-  world.core->OnStartReply(call, call_status::kOk, world.now, world.now);
-  world.Lease({fixture::Run(0)}, {});
+  world.StartRun(0);
   worker_heartbeat heartbeat;
   heartbeat.instance = "i-other";
   heartbeat.incarnation = kIncarnation + 1'000;
@@ -443,13 +449,8 @@
   fixture world;
   const auto hear = [&](const std::string& service, uint64_t sequence,
                         bool draining) {
-    worker_heartbeat heartbeat;
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = kIncarnation;
-    heartbeat.sequence = sequence;
+    auto heartbeat = world.MakeHeartbeat(sequence, draining);
     heartbeat.service = service;
-    heartbeat.capacity = {16'000, 64'000, 0};
-    heartbeat.draining = draining;
     const bool taken = world.core->OnHeartbeat(heartbeat, world.now);
     world.now += millis(1'500);
     world.Report();
@@ -521,10 +522,7 @@
 // moved the assumed end of the lease, so the worker was never declared gone.
 TEST_CASE("a worker that refuses connections is gone when its lease is over") {
   fixture world;
-  world.Order({fixture::Start(0)});
-  const auto call = world.core->TakeStarts(world.now).at(0);
-  world.core->OnStartReply(call, call_status::kOk, world.now, world.now);
-  world.Lease({fixture::Run(0)}, {});
+  world.StartRun(0);
   // Latest end of the last lease that reached the worker.
   const auto over = world.now + WithClockMargin(millis(6'000));
   const auto runs_until = world.now + millis(5'800);
@@ -560,10 +558,7 @@
 // answered late, or was of its life before, ran on after its notice.
 TEST_CASE("a worker that has announced its exit runs on until it is gone") {
   fixture world;
-  world.Order({fixture::Start(0)});
-  const auto call = world.core->TakeStarts(world.now).at(0);
-  world.core->OnStartReply(call, call_status::kOk, world.now, world.now);
-  world.Lease({fixture::Run(0)}, {});
+  world.StartRun(0);
   world.core->OnWorkerExit("i-1", world.now);
   world.now += millis(500);
   world.Order({fixture::Start(1)});
@@ -575,13 +570,7 @@
   const auto lease = world.Lease({fixture::Run(0)}, {});
   CHECK(lease.lease_until_ms > 0);
   SECTION("it has drained and ends") {
-    worker_heartbeat heartbeat;
-    heartbeat.service = "service";
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = kIncarnation;
-    heartbeat.sequence = 2;
-    heartbeat.draining = true;
-    world.core->OnHeartbeat(heartbeat, world.now);
+    world.core->OnHeartbeat(world.MakeHeartbeat(2, true), world.now);
     world.FailLease(call_status::kNotListening, millis(5));
     world.Report();
     CHECK(world.last.phase == worker_phase::kGone);
@@ -601,23 +590,12 @@
     CHECK(world.last.phase == worker_phase::kGone);
   }
   SECTION("it still drains") {
-    worker_heartbeat heartbeat;
-    heartbeat.service = "service";
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = kIncarnation;
-    heartbeat.sequence = 2;
-    heartbeat.draining = true;
-    world.core->OnHeartbeat(heartbeat, world.now);
+    world.core->OnHeartbeat(world.MakeHeartbeat(2, true), world.now);
     world.Report();
     CHECK(world.last.phase == worker_phase::kDraining);
   }
   SECTION("the notice was of its life before") {
-    worker_heartbeat heartbeat;
-    heartbeat.service = "service";
-    heartbeat.instance = "i-1";
-    heartbeat.incarnation = kIncarnation;
-    heartbeat.sequence = 2;
-    world.core->OnHeartbeat(heartbeat, world.now);
+    world.core->OnHeartbeat(world.MakeHeartbeat(2), world.now);
     world.Report();
     CHECK(world.last.phase == worker_phase::kReady);
     world.Order({fixture::Start(2)});
@@ -625,6 +603,51 @@
   }
 }
 
+// Guards against a run that is started again while it runs: refused connections
+// prove the end of a worker that has announced its exit, a call without a reply
+// does not.
+TEST_CASE("a worker that stops replying after its exit notice is not gone") {
+  fixture world;
+  world.StartRun(0);
+  // Its listener is restarted, and the worker goes on.
+  world.FailLease(call_status::kNotListening, millis(5));
+  world.now += millis(200);
+  world.FailLease(call_status::kNoReply, millis(5));
+  world.core->OnHeartbeat(world.MakeHeartbeat(2, true), world.now);
+  world.core->OnWorkerExit("i-1", world.now);
+  world.now += millis(200);
+  world.FailLease(call_status::kNoReply, millis(5));
+  world.Report();
+  CHECK(world.last.phase == worker_phase::kDraining);
+  CHECK(world.core->run_count() == 1);
+  world.now += millis(200);
+  world.FailLease(call_status::kNotListening, millis(5));
+  world.Report();
+  CHECK(world.last.phase == worker_phase::kGone);
+}
+
+// Guards against a worker's next incarnation that goes unnoticed: a reply of
+// the one before may arrive after the first heartbeat of the next.
+TEST_CASE("a reply to an earlier call does not void a later heartbeat") {
+  fixture world;
+  world.StartRun(0);
+  const auto call = world.core->NextLease(world.now);
+  REQUIRE(call);
+  lease_reply reply;
+  reply.status = call_status::kOk;
+  reply.clock_ms = world.ClockMs();
+  reply.incarnation = world.incarnation;
+  const auto sent = world.now;
+  world.now += millis(5);
+  ++world.incarnation;
+  REQUIRE(world.core->OnHeartbeat(world.MakeHeartbeat(1), world.now));
+  world.now += millis(5);
+  world.core->OnLeaseReply(*call, reply, sent, world.now);
+  world.Probe();
+  world.Report();
+  CHECK(world.last.worker_incarnation == world.incarnation);
+}
+
 TEST_CASE("a silent worker is declared gone once all its leases have expired") {
   fixture world;
   world.Lease({}, {});
