Reject tasks of another row in a row of progress

A row of progress was taken for whatever tasks it held. Under the key of another row it would have replaced newer tasks by older ones after a takeover, so that a task that is done would run again; nothing is known to write such a row. And row numbers from 2^27 on wrapped around to the first rows.

AddProgress now takes the number of the row, and a job with such a row is set aside (job_set_aside) as with any row that cannot be read.

--- a/include/chiveglade/workflow/job_record.h
+++ b/include/chiveglade/workflow/job_record.h
@@ -78,9 +78,11 @@
   friend bool operator==(const progress_row&, const progress_row&) = default;
 };
 
-// Copies the tasks of a row, and its phase if it is later, into the record.
-// Fails with "corrupt" if the job has fewer tasks.
-result<done> AddProgress(const progress_row& row, job_record& to);
+// Copies the tasks of row `number`, and its phase if it is later, into the
+// record. Fails with "corrupt" if the job has no such tasks in this row.
+result<done> AddProgress(uint32_t number,
+                         const progress_row& row,
+                         job_record& to);
 
 // CBOR encodings. Decoding fails with "corrupt".
 std::string EncodeProgressRow(const job_record& in, uint32_t row);
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -459,7 +459,8 @@
   if (const auto rows = progress_.extract(id)) {
     progress = workflow::MakeJobRecord(job->job);
     for (const auto& [number, row] : rows.mapped()) {
-      if (const auto added = workflow::AddProgress(row, *progress); !added) {
+      if (const auto added = workflow::AddProgress(number, row, *progress);
+          !added) {
         SetAside(id, added.last_reason());
         return;
       }
--- a/src/workflow/job_record.cc
+++ b/src/workflow/job_record.cc
@@ -21,17 +21,16 @@
 // Calls `visit` with the number and the record of each task of a row.
 template <typename Record, typename F>
 void VisitRow(Record& job, uint32_t row, F visit) {
-  const uint32_t first = row * kTasksPerRow;
-  const uint32_t end = first + kTasksPerRow;
-  uint32_t begin = 0;  // number of the first task of the step
+  const size_t first = size_t{row} * kTasksPerRow;
+  const size_t end = first + kTasksPerRow;
+  size_t begin = 0;  // number of the first task of the step
   for (auto& steps : job.tasks) {
     for (auto& tasks : steps) {
-      const auto size = static_cast<uint32_t>(tasks.size());
-      for (uint32_t at = std::max(begin, first);
-           at < std::min(begin + size, end); ++at) {
-        visit(at, tasks[at - begin]);
+      for (size_t at = std::max(begin, first);
+           at < std::min(begin + tasks.size(), end); ++at) {
+        visit(static_cast<uint32_t>(at), tasks[at - begin]);
       }
-      begin += size;
+      begin += tasks.size();
     }
   }
 }
@@ -135,20 +134,20 @@
   return static_cast<uint32_t>(std::max(rows, size_t{1}));
 }
 
-result<done> AddProgress(const progress_row& row, job_record& to) {
+result<done> AddProgress(uint32_t number,
+                         const progress_row& row,
+                         job_record& to) {
   size_t added = 0;
-  for (auto at = row.tasks.begin(); at != row.tasks.end();) {
-    const uint32_t number = at->first / kTasksPerRow;
-    VisitRow(to, number, [&](uint32_t task, task_record& into) {
-      if (const auto found = row.tasks.find(task); found != row.tasks.end()) {
-        into = found->second;
-        ++added;
-      }
-    });
-    at = row.tasks.lower_bound((number + 1) * kTasksPerRow);
-  }
+  VisitRow(to, number, [&](uint32_t task, task_record& into) {
+    if (const auto found = row.tasks.find(task); found != row.tasks.end()) {
+      into = found->second;
+      ++added;
+    }
+  });
   if (added != row.tasks.size()) {
-    return reason{"corrupt", "a row of progress has tasks that the job lacks"};
+    return reason{"corrupt",
+                  "row " + std::to_string(number) +
+                      " of the progress has tasks that do not belong there"};
   }
   to.phase = std::max(to.phase, row.phase);
   return done{};
--- a/tests/workflow/codec_test.cc
+++ b/tests/workflow/codec_test.cc
@@ -80,7 +80,7 @@
   REQUIRE(row);
   CHECK(row->tasks.size() == 2);
   auto read = MakeJobRecord(in.job);
-  CHECK(AddProgress(*row, read));
+  CHECK(AddProgress(0, *row, read));
   CHECK(read == record);
 }
 
@@ -105,7 +105,7 @@
   for (uint32_t row = 0; row < 3; ++row) {
     const auto tasks = DecodeProgressRow(EncodeProgressRow(record, row));
     CHECK(tasks->tasks.size() == (row < 2 ? kTasksPerRow : 5));
-    CHECK(AddProgress(*tasks, read));
+    CHECK(AddProgress(row, *tasks, read));
   }
   CHECK(read == record);
 }
@@ -115,7 +115,23 @@
   larger.tasks[0][0][2].phase = task_phase::kDone;
   const auto row = DecodeProgressRow(EncodeProgressRow(larger, 0));
   auto record = MakeJobRecord(MakeSubmission({MakeStep(2)}).job);
-  CHECK_FALSE(AddProgress(*row, record));
+  CHECK_FALSE(AddProgress(0, *row, record));
+}
+
+// Guards against a row that has been stored under the key of another one, whose
+// older tasks would replace newer ones.
+TEST_CASE("a row of progress with tasks of another row is rejected") {
+  auto record = MakeJobRecord(MakeSubmission({MakeStep(40)}).job);
+  record.tasks[0][0][3].phase = task_phase::kDone;
+  record.tasks[0][0][35].phase = task_phase::kDone;
+  for (const uint32_t row : {0U, 1U}) {
+    const auto read = DecodeProgressRow(EncodeProgressRow(record, row));
+    auto into = MakeJobRecord(MakeSubmission({MakeStep(40)}).job);
+    CHECK(AddProgress(row, *read, into));
+    CHECK_FALSE(AddProgress(1 - row, *read, into));
+    // Its first task has the number of row 0 modulo 2^32.
+    CHECK_FALSE(AddProgress(1U << 27U, *read, into));
+  }
 }
 
 // Regression, review/5: the store refuses a row above its limit, and with it
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -16,7 +16,7 @@
                         const std::vector<coordinator::batch_row>& batch) {
   auto out = MakeJobRecord(job.job);
   for (const auto& row : batch) {
-    REQUIRE(AddProgress(*DecodeProgressRow(*row.record), out));
+    REQUIRE(AddProgress(row.key.row, *DecodeProgressRow(*row.record), out));
   }
   return out;
 }
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -246,11 +246,12 @@
     }
     std::optional<job_record> progress;
     for (const auto& row : store_.Scan(kProgressPrefix + id, SIZE_MAX)) {
-      if (ParseProgressKey(row.key)->job != id) {
+      const auto key = ParseProgressKey(row.key);
+      if (key->job != id) {
         continue;  // The ID of another job begins so.
       }
       progress = progress ? progress : MakeJobRecord(job.job);
-      if (!AddProgress(*DecodeProgressRow(row.value), *progress)) {
+      if (!AddProgress(key->row, *DecodeProgressRow(row.value), *progress)) {
         violations_.push_back("progress of other tasks: " + row.key);
       }
     }
