Stop a run before a new runner process refuses it

A worker may carry out a start seconds after the call. The runner's next process did not count what the one before had sent: it refused an ordered run at once (no room, expired, draining), the coordinator placed the task elsewhere, and the first start ran as well.

Restarted runners of the worlds no longer get a heartbeat at once. Ruled out: refusals before the first heartbeat.

Fix: for as long as a start of an earlier process can be carried out (the worker rejects it once its lease of at most 6 s is over), an ordered run counts as one that may have been sent: it is stopped, and refused when lists without it come.

The cases of supervisor_test now begin with a runner that has been up for a lease; what they check is unchanged.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -115,7 +115,8 @@
     run_status status;
     bool call_in_flight = false;
     bool start_sent = false;  // a start call may have reached the worker
-    // A start call got no reply, so the worker may yet carry it out.
+    // A start call got no reply, or an earlier process may have sent one, so
+    // the worker may yet carry it out.
     bool may_still_start = false;
     bool stop_confirmed = false;   // the worker will not start or continue it
     int64_t stop_incarnation = 0;  // to which the last stop call was sent
@@ -131,6 +132,7 @@
     latency_filter filter;             // used for a serving task
     double latency_ms = 0;             // estimate of `filter`; 0: none yet
   };
+  using tracked_runs = std::map<run_key, tracked_run>;
 
   void Log(
       const char* event,
@@ -140,8 +142,12 @@
   void BeginIncarnation(int64_t incarnation, boot_time now);
   void AddRefusal(const run_key& run, const std::string& why, boot_time now);
   void BeginStop(tracked_run& run, const std::string& why, boot_time now);
-  // Refuses starts that are past their deadline or whose worker drains. Those
-  // already sent are stopped first.
+  // Refuses a start, and stops the run first if the worker may have been sent
+  // it. Returns the next run.
+  tracked_runs::iterator RefuseStart(tracked_runs::iterator at,
+                                     const std::string& why,
+                                     boot_time now);
+  // Refuses starts that are past their deadline or whose worker drains.
   void DropExpiredStarts(boot_time now);
   void ApplyLists(const lease_reply& in, boot_time sent, boot_time now);
   // Clears a checkpoint that is too long to be stored.
@@ -150,7 +156,7 @@
                           boot_time now);
   // Returns the runs whose start calls the previous incarnation is not known to
   // have received, as runs to stop.
-  std::map<run_key, tracked_run> TakeUnlocatedStarts(boot_time now);
+  tracked_runs TakeUnlocatedStarts(boot_time now);
   // Accounts for a lease that the worker may have taken.
   void OnLeaseSent(int64_t lease_until_ms, boot_time sent);
   void OnLeaseFailed(call_status status, boot_time now);
@@ -206,12 +212,14 @@
   boot_time next_probe_at_{};
   // Latest time, by this VM's clock, until which a lease sent may last.
   boot_time latest_lease_end_{};
+  // Until then the worker may carry out starts of an earlier runner process.
+  boot_time earlier_starts_until_{};
   boot_time last_lease_reply_at_{};
   boot_time connect_refused_since_{};  // 0 if the last call connected
   uint32_t starts_in_flight_ = 0;
   boot_time next_lease_call_at_{};
 
-  std::map<run_key, tracked_run> runs_;
+  tracked_runs runs_;
   std::vector<run_end> ends_;
   std::vector<run_refusal> refusals_;
   // When each run was refused in this incarnation. A repeated order may still
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -1,6 +1,7 @@
 #include "chiveglade/workflow/supervisor.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "chiveglade/workflow/job_record.h"
@@ -132,15 +133,16 @@
            {"late_ms",
             Text(std::chrono::duration_cast<millis>(now - start_deadline)
                      .count())}});
-    } else if (!has_heartbeat_ || IsLeaving()) {
-      AddRefusal(order.run, has_heartbeat_ ? "draining" : "worker_unknown",
-                 now);
     } else {
       tracked_run next;
       next.order = order;
       next.status.run = order.run;
       next.start_deadline = start_deadline;
-      runs_.emplace(order.run, std::move(next));
+      next.start_sent = next.may_still_start = now < earlier_starts_until_;
+      const auto added = runs_.emplace(order.run, std::move(next)).first;
+      if (!has_heartbeat_ || IsLeaving()) {
+        RefuseStart(added, has_heartbeat_ ? "draining" : "worker_unknown", now);
+      }
     }
   }
   for (const auto& weight : in.weights) {
@@ -197,23 +199,29 @@
                               rate);
 }
 
+supervisor::tracked_runs::iterator supervisor::RefuseStart(
+    tracked_runs::iterator at,
+    const std::string& why,
+    boot_time now) {
+  if (at->second.start_sent) {
+    BeginStop(at->second, why, now);
+    return std::next(at);
+  }
+  const run_key run = at->first;
+  const auto next = runs_.erase(at);
+  AddRefusal(run, why, now);
+  return next;
+}
+
 void supervisor::DropExpiredStarts(boot_time now) {
   for (auto at = runs_.begin(); at != runs_.end();) {
-    auto& item = at->second;
+    const auto& item = at->second;
     const bool expired = IsLeaving() || now > item.start_deadline;
-    if (item.phase != run_phase::kStarting || item.call_in_flight || !expired) {
-      ++at;
-      continue;
-    }
-    const char* why = IsLeaving() ? "draining" : "expired";
-    if (item.attempts > 0) {
-      BeginStop(item, why, now);
+    if (item.phase == run_phase::kStarting && !item.call_in_flight && expired) {
+      at = RefuseStart(at, IsLeaving() ? "draining" : "expired", now);
+    } else {
       ++at;
-      continue;
     }
-    const run_key run = at->first;
-    at = runs_.erase(at);
-    AddRefusal(run, why, now);
   }
 }
 
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -18,9 +18,8 @@
 
 }  // namespace
 
-std::map<run_key, supervisor::tracked_run> supervisor::TakeUnlocatedStarts(
-    boot_time now) {
-  std::map<run_key, tracked_run> out;
+supervisor::tracked_runs supervisor::TakeUnlocatedStarts(boot_time now) {
+  tracked_runs out;
   for (auto& [run, item] : runs_) {
     // A listed run was there; its start call cannot run a second time.
     const bool located = item.status.started && !item.call_in_flight;
@@ -61,6 +60,10 @@
   lists_complete_ = true;
   // An earlier runner process may have sent a lease that is not known here.
   latest_lease_end_ = now + WithClockMargin(options_.worker_lease);
+  if (earlier_starts_until_ == boot_time{}) {
+    // The worker carries out no start whose lease is over.
+    earlier_starts_until_ = latest_lease_end_;
+  }
   last_lease_reply_at_ = now;
   heartbeat_ = {};
   contradicting_heartbeat_.reset();
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -230,6 +230,29 @@
   CheckCompletes(world);
 }
 
+// Regression, incident start-of-earlier-runner: a new process of the runner
+// refused a run whose start an earlier one had sent, and the worker carried it
+// out while the task ran elsewhere.
+TEST_CASE("starts sent by an earlier runner process run no task twice") {
+  const int seed = GENERATE(range(470, 511));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 9'001);
+  world.SetFaults({0.05, 0.3, 0.05});
+  SubmitJobs(world, 24);
+  for (int i = 0; i < 14; ++i) {
+    world.Advance(millis(100 + 10 * pick(120)));
+    const size_t at = pick(kRunners);
+    world.RestartRunner(at);
+    world.Advance(millis(10 * pick(40)));
+    // Orders that reach the new process expire before it can carry them out.
+    world.SetWorkerRefusing(at, true);
+    world.Advance(millis(1'500 + 10 * pick(100)));
+    world.SetWorkerRefusing(at, false);
+  }
+  CheckCompletes(world);
+}
+
 // Regression, review/5: the row of a large job outgrew the store's limit, and
 // no progress of any job was stored from then on.
 TEST_CASE("a large job with long checkpoints does not hold up other jobs") {
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -12,7 +12,17 @@
 
 // A supervisor whose worker and coordinator are scripted by the test.
 struct fixture {
+  // Its process is older than any start that an earlier one can have sent.
   fixture() {
+    RestartRunner();
+    now += WithClockMargin(supervisor_options{}.worker_lease);
+    core->OnHeartbeat(MakeHeartbeat(1), now);
+    Lease({}, {});
+    Report();
+  }
+
+  // Replaces the runner's process.
+  void RestartRunner() {
     supervisor_options options;
     options.vm = "vm";
     options.address = "runner";
@@ -703,6 +713,39 @@
   CHECK(report.phase == worker_phase::kUnknown);
 }
 
+// Regression, incident start-of-earlier-runner: the worker may carry out late
+// what an earlier process of the runner has sent.
+TEST_CASE("a restarted runner stops a run before it refuses it") {
+  fixture world;
+  world.RestartRunner();
+  world.Order({fixture::Start(0)});
+  SECTION("the worker has no room") {
+    const auto call = world.core->TakeStarts(world.now).at(0);
+    world.core->OnStartReply(call, call_status::kNoRoom, world.now, world.now);
+  }
+  SECTION("the order expires before it is carried out") {
+    world.FailLease(call_status::kNotListening, millis(5));
+    world.now += kStartValidity + millis(1);
+    CHECK(world.core->TakeStarts(world.now).empty());
+  }
+  SECTION("the worker drains") {
+    world.core->OnHeartbeat(world.MakeHeartbeat(2, true), world.now);
+    CHECK(world.core->TakeStarts(world.now).empty());
+  }
+  world.Report();
+  CHECK(world.last.refusals.empty());
+  const auto stops = world.core->TakeStops(world.now);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].run == fixture::Run(0));
+  world.core->OnStopReply(stops[0].run, call_status::kSuperseded, world.now);
+  world.Report();
+  CHECK(world.last.refusals.empty());
+  world.now += millis(500);
+  world.Lease({}, {});
+  world.Report();
+  CHECK(world.last.refusals.size() == 1);
+}
+
 // A coordinator on a fraction of a processor receives hundreds of ends a
 // second, so its cost must depend on what changed, not on the number of runs on
 // the VM.
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -154,7 +154,6 @@
   options.address = std::to_string(index);
   options.runner_incarnation = on.name() + "-" + std::to_string(on.incarnation);
   on.core = std::make_unique<supervisor>(std::move(options));
-  on.last_heartbeat_at = time_ - kHeartbeatInterval;
 }
 
 void workflow_world::SetGatewayFrozen(size_t index, bool frozen) {
