Remember ended runs after their ends are acknowledged

Cause: the copy of an order came when the run's end was acknowledged and the worker had just crashed, under the same instance name. The runner had forgotten the run, and the new life of the worker does not reject its number. Ruled out: a held start call (every call had a reply), a second order (one placement).

The runner now remembers ended runs for 30 s, as it does refused ones, until it knows of the worker's next life.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -225,6 +225,10 @@
   // When each run was refused in this incarnation. A repeated order may still
   // be in flight, sent before the coordinator learned of the refusal.
   std::map<run_key, boot_time> refused_at_;
+  // When the worker listed the end of each run in this incarnation. A delayed
+  // order may arrive after its acknowledgement, when the worker has crashed and
+  // would start the run again.
+  std::map<run_key, boot_time> ended_at_;
   uint64_t acknowledged_ = 0;  // newest end that the coordinator has stored
   boot_time grant_until_{};
   // The newest report with a list of runs that got a reply.
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -25,15 +25,25 @@
 // times as frequent, carry only ends and refusals. Just below the usual report
 // interval, so that each regular report has the list.
 constexpr millis kRunListInterval{450};
-// How long refused runs are remembered. Exceeds kStartValidity, so any order
-// that comes later has expired.
-constexpr millis kRefusalRetention{30'000};
+// How long runs that were refused or have ended are remembered. Exceeds
+// kStartValidity, so any order that comes later has expired.
+constexpr millis kOverRetention{30'000};
 constexpr double kMillicoresPerCore = 1'000;
 
 constexpr uint32_t kFullPacePercent = 100;
 // Differs from any share, so that the pace call is repeated.
 constexpr uint32_t kUnknownPacePercent = 101;
 
+// Remembers that a run is over, and forgets those that no order can concern.
+void Remember(const run_key& run,
+              boot_time now,
+              std::map<run_key, boot_time>& in) {
+  std::erase_if(in, [now](const auto& item) {
+    return now - item.second > kOverRetention;
+  });
+  in[run] = now;
+}
+
 std::string Text(int64_t value) {
   return std::to_string(value);
 }
@@ -120,6 +130,7 @@
       continue;
     }
     const bool ended =
+        ended_at_.contains(order.run) ||
         std::any_of(ends_.begin(), ends_.end(),
                     [&](const run_end& end) { return end.run == order.run; });
     if (ended) {
@@ -177,10 +188,7 @@
       {{"task", ToString(run.task)}, {"run", Text(run.run)}, {"reason", why}});
   refusals_.push_back({run, why});
   report_due_ = true;
-  std::erase_if(refused_at_, [now](const auto& item) {
-    return now - item.second > kRefusalRetention;
-  });
-  refused_at_[run] = now;
+  Remember(run, now, refused_at_);
 }
 
 millis supervisor::GrantLeft(boot_time now) const {
@@ -476,6 +484,7 @@
       continue;
     }
     ends_.push_back(end);
+    Remember(end.run, now, ended_at_);
     DropLongCheckpoint(end.run, ends_.back().checkpoint, now);
     report_due_ = true;
     runs_.erase(end.run);
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -55,6 +55,7 @@
   ends_.clear();
   refusals_.clear();
   refused_at_.clear();
+  ended_at_.clear();
   acknowledged_ = 0;
   lists_epoch_ = 0;
   lists_complete_ = true;
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -253,6 +253,78 @@
   CheckCompletes(world);
 }
 
+// Faults that are harmless one by one may not be so together. Regression: an
+// order that came twice started a run again that had ended.
+TEST_CASE("all kinds of faults together violate no invariant") {
+  const int seed = GENERATE(range(150, 231));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 2'003);
+  world.SetFaults({0.05, 0.15, 0.1, 0.05});
+  if (pick(2) == 0) {
+    world.SetMaxListedEnds(1 + pick(3));
+  }
+  if (pick(4) == 0) {
+    world.SetCheckpointBytes(300 * pick(3));
+  }
+  SubmitJobs(world, 24);
+  SubmitFailingJobs(world, 2);
+  for (int i = 0; i < 30; ++i) {
+    world.Advance(millis(100 + 50 * pick(20)));
+    const bool on = pick(2) == 0;
+    const size_t runner = pick(kRunners);
+    const size_t gateway = pick(kGateways);
+    switch (pick(15)) {
+      case 0:
+        world.RestartGateway(gateway);
+        break;
+      case 1:
+        world.SetGatewayFrozen(gateway, on);
+        break;
+      case 2:
+        world.SetStorePartitioned(gateway, on);
+        break;
+      case 3:
+        world.SetNewsSilent(gateway, on);
+        break;
+      case 4:
+        world.SetStoreDown(on);
+        break;
+      case 5:
+        world.SetRunnerPartitioned(runner, on);
+        break;
+      case 6:
+        world.CrashWorker(runner, on);
+        break;
+      case 7:
+        world.BringUpWorker(runner);
+        break;
+      case 8:
+        world.BounceWorker(runner, millis(50 * pick(20)));
+        break;
+      case 9:
+        world.AnnounceExit(runner);
+        break;
+      case 10:
+        world.SendForeignHeartbeat(runner);
+        break;
+      case 11:
+        world.Cancel("job" + std::to_string(pick(24)));
+        break;
+      case 12:
+        world.SetWorkerRefusing(runner, on);
+        break;
+      case 13:
+        world.SetRunnerFrozen(runner, on);
+        break;
+      default:
+        world.RestartRunner(runner);
+        break;
+    }
+  }
+  CheckCompletes(world);
+}
+
 // Regression, review/5: the row of a large job outgrew the store's limit, and
 // no progress of any job was stored from then on.
 TEST_CASE("a large job with long checkpoints does not hold up other jobs") {
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -298,6 +298,22 @@
   CHECK(world.core->TakeStarts(world.now).size() == 1);
 }
 
+// Regression: an order that came twice, the second time when the run had ended
+// and its worker had crashed, started the run on the worker's next incarnation.
+TEST_CASE("a repeated order does not start a run that has ended") {
+  fixture world;
+  world.StartRun(0);
+  world.now += millis(100);
+  world.Lease({}, {{1, fixture::Run(0), run_result::kDone, ""}});
+  const bool is_acknowledged = GENERATE(false, true);
+  world.Report(kGrant, is_acknowledged ? 1 : 0);
+  world.now += millis(100);
+  world.Lease({}, {});
+  world.Order({fixture::Start(0)});
+  CHECK(world.core->TakeStarts(world.now).empty());
+  CHECK(world.core->run_count() == 0);
+}
+
 TEST_CASE("lists requested before a stop was confirmed do not settle the run") {
   fixture world;
   world.Order({}, {fixture::Run(0)});
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -41,6 +41,7 @@
   size_t index = 0;
   uint64_t incarnation = 0;
   bool partitioned = false;
+  bool frozen = false;
   std::unique_ptr<supervisor> core;
   std::unique_ptr<fake_worker> worker;
   millis last_report_at{-1'000};
@@ -103,6 +104,33 @@
   scheduled_.emplace(time_ + delay, std::move(run));
 }
 
+void workflow_world::ScheduleAt(const runner& on,
+                                millis delay,
+                                std::function<void()> run) {
+  Schedule(delay, [this, &on, run = std::move(run)] {
+    if (on.frozen) {
+      ScheduleAt(on, kStep, run);
+    } else {
+      run();
+    }
+  });
+}
+
+bool workflow_world::Send(const std::function<void(millis delay)>& schedule) {
+  if (Chance(faults_.lost_message)) {
+    return false;
+  }
+  const bool is_late = Chance(faults_.late_message);
+  if (is_late) {
+    schedule(Delay() * 300);
+  }
+  if (is_late && Chance(0.5)) {
+    return false;
+  }
+  schedule(Delay());
+  return true;
+}
+
 void workflow_world::Submit(const std::string& id, const submission& in) {
   jobs_.emplace(id, in);
 }
@@ -168,6 +196,10 @@
   runners_[index]->partitioned = partitioned;
 }
 
+void workflow_world::SetRunnerFrozen(size_t index, bool frozen) {
+  runners_[index]->frozen = frozen;
+}
+
 void workflow_world::SetNewsSilent(size_t index, bool silent) {
   gateways_[index]->news_silent = silent;
 }
@@ -223,7 +255,7 @@
     gateway->frozen = gateway->partitioned = gateway->news_silent = false;
   }
   for (auto& runner : runners_) {
-    runner->partitioned = false;
+    runner->partitioned = runner->frozen = false;
     runner->worker->BringUp();
   }
 }
@@ -304,7 +336,9 @@
       }
       return run_plan{millis(400 + 300 * run.task.index)};
     });
-    StepRunner(*runner);
+    if (!runner->frozen) {
+      StepRunner(*runner);
+    }
   }
   for (auto& gateway : gateways_) {
     if (!gateway->frozen) {
@@ -343,13 +377,14 @@
   WriteEnded(on);
   for (const auto& next : on.core->TakeOrders(now)) {
     const auto to = std::stoul(next.address);
-    if (runners_[to]->partitioned || Chance(faults_.lost_message)) {
+    auto& runner = *runners_[to];
+    const auto deliver = [this, &runner, bytes = Encode(next.message)] {
+      runner.core->OnOrders(*DecodeOrders(bytes), At(time_));
+    };
+    if (runner.partitioned ||
+        !Send([&](millis delay) { ScheduleAt(runner, delay, deliver); })) {
       on.core->OnOrdersNotDelivered(next.vm);
-      continue;
     }
-    Schedule(Delay(), [this, to, bytes = Encode(next.message)] {
-      runners_[to]->core->OnOrders(*DecodeOrders(bytes), At(time_));
-    });
   }
 }
 
@@ -383,13 +418,14 @@
     const auto reply = gateway->core->OnReport(
         in, At(time_), gateway->writer->last_commit_sent_at());
     const auto epoch = gateway->writer->epoch();
-    Schedule(Delay(), [this, from, incarnation, in, reply, sent, epoch] {
-      auto& runner = *runners_[from];
+    auto& runner = *runners_[from];
+    const auto deliver = [&runner, incarnation, in, reply, sent, epoch] {
       if (runner.incarnation == incarnation && !runner.partitioned) {
         runner.core->OnCoordinator(epoch, "coordinator");
         runner.core->OnReportReply(in, reply, sent);
       }
-    });
+    };
+    (void)Send([&](millis delay) { ScheduleAt(runner, delay, deliver); });
   }
 }
 
@@ -404,11 +440,11 @@
                           time_ - on.last_report_at >= kReportInterval)) {
     on.last_report_at = time_;
     const auto bytes = Encode(on.core->MakeReport(now));
-    if (!Chance(faults_.lost_message)) {
-      Schedule(Delay(), [this, index = on.index, bytes, now] {
+    (void)Send([&](millis delay) {
+      Schedule(delay, [this, index = on.index, bytes, now] {
         DeliverReport(index, bytes, now);
       });
-    }
+    });
   }
 }
 
@@ -439,7 +475,7 @@
   }
   const auto call_lease = [&](const lease_call& call) {
     const auto reply = on.worker->Lease(call);
-    Schedule(Delay(), [this, &on, incarnation, call, reply, now] {
+    ScheduleAt(on, Delay(), [this, &on, incarnation, call, reply, now] {
       if (on.incarnation == incarnation) {
         on.core->OnLeaseReply(call, reply, now, At(time_));
       }
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -33,6 +33,8 @@
     double lost_message = 0;       // share of messages between processes
     double late_order = 0;         // share of calls to workers that run late
     double lost_store_answer = 0;  // share of commits without a reply
+    // Share of messages between processes that come seconds late, or twice.
+    double late_message = 0;
     friend bool operator==(const faults&, const faults&) = default;
   };
 
@@ -49,6 +51,7 @@
   void SetGatewayFrozen(size_t index, bool frozen);
   void SetStorePartitioned(size_t index, bool partitioned);
   void SetRunnerPartitioned(size_t index, bool partitioned);
+  void SetRunnerFrozen(size_t index, bool frozen);
   // The gateway hears of no new jobs and cancellations. Its writes go on.
   void SetNewsSilent(size_t index, bool silent);
   void RestartGateway(size_t index);
@@ -96,6 +99,12 @@
   void TakeNews(gateway& on);
   void DeliverReport(size_t from, const std::string& bytes, boot_time sent);
   void Schedule(millis delay, std::function<void()> run);
+  // Schedules what a runner's process does with a message; not while it is
+  // frozen.
+  void ScheduleAt(const runner& on, millis delay, std::function<void()> run);
+  // Delivers a message between processes by calling `schedule` with its delay.
+  // False if the sender takes it for lost.
+  bool Send(const std::function<void(millis delay)>& schedule);
   bool Chance(double share);
   millis Delay();
   void CallWorker(runner& on);
