End no runs by a late report that a worker has gone

The first report that a new coordinator got of a VM was seconds old and said that the worker had gone. It ended all runs placed there, also those of the worker's next life, which was up.

Reports of a process are ordered by number, but a coordinator that has heard nothing of a VM has none to compare with. A gone worker now ends only runs of the life that the report names, and only if the report knows this coordinator, which the next one does. Ruled out: reports of a later life, whose evidence does not age.

"a late report that the worker has gone ends no later runs" failed before in both cases, an earlier life and the same life come back.

--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -98,7 +98,10 @@
   state_->MoveRuns(vm, in);
   state_->EndRunsBefore(vm, in.worker_incarnation, "worker_restarted", now);
   if (in.phase == worker_phase::kGone) {
-    state_->EndRunsBefore(vm, INT64_MAX, "worker_gone", now);
+    // A report from before this coordinator may be late, and the worker back.
+    if (in.epoch == state_->options.epoch) {
+      state_->EndRunsBefore(vm, in.worker_incarnation + 1, "worker_gone", now);
+    }
   } else if (!in.omits_runs) {
     state_->ApplyRuns(vm, in, now);
     state_->UpdateOwnLoads(vm, now);
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -157,6 +157,49 @@
   CHECK(starts[0].run == Run(0, 0, 1));
 }
 
+// Regression, incident late-report-of-gone-worker: the first report that a new
+// leader got was seconds old, and ended runs that had been placed since.
+TEST_CASE("a late report that the worker has gone ends no later runs") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  const auto job = MakeSubmission({MakeStep(1)});
+  world.AddJob(kJob, job);
+  world.Tick();
+  const auto record = ReadProgress(job, world.core->TakeBatch(world.now));
+  world.Restart(2);
+  world.core->AddJob(kJob, job, record, world.now, world.unix_ms);
+  auto gone = world.MakeReport("vm");
+  gone.phase = worker_phase::kGone;
+  SECTION("of an earlier incarnation") {
+    gone.epoch = 2;
+    gone.worker_incarnation = 500;
+  }
+  SECTION("of this incarnation, which has come back") {
+    gone.epoch = 1;
+  }
+  world.Report(gone);
+  auto in = world.MakeReport("vm");
+  in.epoch = 2;
+  world.Report(in);
+  // The same run is ordered again, not another one.
+  const auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].run == Run(0, 0, 1));
+  SECTION("a report that knows this leader counts") {
+    auto now_gone = world.MakeReport("vm");
+    now_gone.phase = worker_phase::kGone;
+    now_gone.epoch = 2;
+    world.Report(now_gone);
+    auto back = world.MakeReport("vm");
+    back.epoch = 2;
+    back.worker_incarnation = 2'000;
+    world.Report(back);
+    const auto again = world.Starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run == Run(0, 0, 2));
+  }
+}
+
 TEST_CASE("a new incarnation of the worker ends the runs of the old one") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
