--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -332,6 +332,17 @@
         self.beat_task = asyncio.create_task(self._beat(self.life))
         self.world.note("worker_up", worker=self.name)
 
+    def crash_dark(self):
+        """Loses power for good: nothing runs, and nobody is answered any more."""
+        for key in list(self.running):
+            run = self.running.pop(key)
+            if run.timer:
+                run.timer.cancel()
+            self.world.note("run_lost", worker=self.name, task=run.task, run=run.number)
+        self.up = False
+        self.answers = lambda path: False
+        self.world.note("worker_dark", worker=self.name)
+
     def clock(self):
         return int((time.monotonic() - self.began) * 1000)
 
