--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -295,13 +295,19 @@
         self.saved = ""
         self.percent = 0
         self.timer = None
+        self.pace = 100
+        self.worked_s = 0.0
+        self.saver = None
 
 
 class Worker:
     """A worker. What a task does stands in the job's `spec`, a JSON object:
-    `ms` by step number, `lasts` for steps that last."""
+    `ms` by step number, `lasts` for steps that last; where it matters also `cpu`,
+    `fills`, `serves` and `saves`."""
 
     HOLD_MAX_MS = 6000
+    own_tail_ms = 20  # of a task that serves, without tasks that fill
+    tail_ms_per_core = 10  # what a task that fills adds
 
     def __init__(self, world, name, port, beat_port, service, zone, rack, cpu, mem):
         self.world, self.name, self.port, self.beat_port = world, name, port, beat_port
@@ -368,6 +374,8 @@
         run = self.running.pop(key)
         if run.timer:
             run.timer.cancel()
+        if run.saver:
+            run.saver.cancel()
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
         self.end_count += 1
         self.ended.append([self.end_count, run.task, run.number, how, run.saved])
@@ -379,12 +387,23 @@
     def _work(self, run, key):
         job, _, step, _ = run.task.split(".")
         spec = json.loads(run.spec)
+        run.step = {name: values[int(step)] for name, values in spec.items()}
         loop = asyncio.get_running_loop()
+        if run.step.get("saves"):
+            def save():
+                # A new checkpoint with each save_s (1 s) of work.
+                before = int(run.worked_s)
+                run.worked_s += 0.1 * run.pace / 100
+                if int(run.worked_s) > before:
+                    run.saved = f"{int(run.worked_s) * 1000:08x}{job[4:12]}"
+                run.saver = loop.call_later(0.1, save)
+            save()
         if spec["lasts"][int(step)]:
             def at_work():
                 run.percent = 100
                 self.world.note("at_work", worker=self.name, task=run.task, run=run.number)
-            run.timer = loop.call_later(0.4, at_work)
+            # A short startup, and restore_ms from a checkpoint.
+            run.timer = loop.call_later(1.0 if run.saved else 0.4, at_work)
         else:
             length = spec["ms"][int(step)] / 1000
 
@@ -422,12 +441,25 @@
             self.highest[args["task"]] = max(self.highest.get(args["task"], 0), args["run"])
             return 200, {"clock_ms": self.clock()}
         if path == "/pace":
+            run = self.running.get((args["task"], args["run"]))
+            if run:
+                asyncio.get_running_loop().call_later(0.1, setattr, run, "pace", args["percent"])
             return 200, {"clock_ms": clock}
         if path == "/hold":
             self.world.note("hold", worker=self.name, until_in=args.get("until_ms", 0) - clock)
             return await self._hold(args)
         return 404, {}
 
+    def _cpu_in_use(self, run):
+        return int(run.step.get("cpu", 0) * run.pace / 100)
+
+    def _figure(self, run):
+        """The tail latency of a task that serves, else the cpu in use."""
+        if not run.step.get("serves"):
+            return self._cpu_in_use(run)
+        filling = sum(self._cpu_in_use(r) for r in self.running.values() if r.step.get("fills"))
+        return int(self.own_tail_ms + self.tail_ms_per_core * filling / 1000)
+
     def _extend(self, until, clock):
         self.until = max(self.until, min(until, clock + self.HOLD_MAX_MS))
 
@@ -458,7 +490,7 @@
                 await asyncio.wait_for(self.changed.wait(), args["wait_ms"] / 1000)
             except (asyncio.TimeoutError, TimeoutError):
                 pass
-        running = [[r.task, r.number, r.saved, r.percent] for r in self.running.values()]
+        running = [[r.task, r.number, r.saved, r.percent, self._figure(r)] for r in self.running.values()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running,
                      "ended": self.ended[:500]}
 
