--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -345,8 +345,20 @@
             if run.timer:
                 run.timer.cancel()
             self.world.note("run_lost", worker=self.name, task=run.task, run=run.number)
+            self.world.leave_gang(run, "lost")
         self.up = False
         self.answers = lambda path: False
+        self.http.server.close()
+        # New connections hang: a listener whose queue is full.
+        self.dark = [socket.socket()]
+        self.dark[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.dark[0].bind(("127.0.0.1", self.port))
+        self.dark[0].listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.dark.append(filler)
         self.world.note("worker_dark", worker=self.name)
 
     def clock(self):
@@ -380,7 +392,8 @@
         self.end_count += 1
         self.ended.append([self.end_count, run.task, run.number, how, run.saved])
         self.world.note("run_end", worker=self.name, task=run.task, run=run.number, how=how,
-                        percent=run.percent)
+                        percent=run.percent, saved=run.saved)
+        self.world.leave_gang(run, how)
         event, self.changed = self.changed, asyncio.Event()
         event.set()
 
@@ -389,7 +402,7 @@
         spec = json.loads(run.spec)
         run.step = {name: values[int(step)] for name, values in spec.items()}
         loop = asyncio.get_running_loop()
-        if run.step.get("saves"):
+        if run.step.get("saves") and not run.step.get("gang"):
             def save():
                 # A new checkpoint with each save_s (1 s) of work.
                 before = int(run.worked_s)
@@ -398,7 +411,9 @@
                     run.saved = f"{int(run.worked_s) * 1000:08x}{job[4:12]}"
                 run.saver = loop.call_later(0.1, save)
             save()
-        if spec["lasts"][int(step)]:
+        if run.step.get("gang"):
+            self.world.join_gang(self, run, key)
+        elif spec["lasts"][int(step)]:
             def at_work():
                 run.percent = 100
                 self.world.note("at_work", worker=self.name, task=run.task, run=run.number)
@@ -419,8 +434,10 @@
 
     async def handle(self, method, target, headers, body):
         path = target.partition("?")[0]
-        if not self.answers(path):
-            return None
+        reply = await self._carry_out(path, headers, body) if self.answers(path) else None
+        return reply if self.answers(path) else None
+
+    async def _carry_out(self, path, headers, body):
         await asyncio.sleep(0.008)
         wanted = headers.get("x-expect-instance")
         if wanted and wanted != self.instance:
@@ -476,7 +493,7 @@
         run = Run(args["task"], args["run"], args["spec"], time.monotonic())
         run.saved = args.get("last_checkpoint", "")
         self.running[key] = run
-        self.world.note("run_start", worker=self.name, task=run.task, run=run.number)
+        self.world.note("run_start", worker=self.name, task=run.task, run=run.number, resumes=run.saved)
         self._work(run, key)
         return 200, {"clock_ms": clock}
 
@@ -512,6 +529,7 @@
         self.proxied = proxied
         self.proxies = []
         self.rng = random.Random(41)
+        self.gangs = {}  # (step, run) -> task -> member
 
     def now(self):
         return time.monotonic() - self.began
@@ -619,6 +637,8 @@
         for worker in getattr(self, "workers", []):
             worker.up = False
             await worker.http.stop()
+            for held in getattr(worker, "dark", []):
+                held.close()
         for proxy in self.proxies + ([self.store_proxy] if hasattr(self, "store_proxy") else []):
             await proxy.stop()
         if hasattr(self, "store"):
@@ -627,6 +647,39 @@
             shutil.copytree(self.temp, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         shutil.rmtree(self.temp, ignore_errors=True)
 
+    # Gangs: the members of one run work only together, from when all are there.
+
+    def join_gang(self, worker, run, key):
+        name = (run.task.rpartition(".")[0], run.number)
+        members = self.gangs.setdefault(name, {})
+        members[run.task] = (worker, run, key)
+        if len(members) == run.step["gang"]:
+            self.note("gang_works", step=name[0], run=run.number)
+            asyncio.create_task(self._work_gang(name, run.step["ms"] / 1000))
+
+    def leave_gang(self, run, how):
+        if not run.step.get("gang"):
+            return
+        members = self.gangs.pop((run.task.rpartition(".")[0], run.number), {})
+        members.pop(run.task, None)
+        for worker, other, key in list(members.values()):
+            if key in worker.running:
+                worker._end(key, "done" if how == "done" else "broken")
+
+    async def _work_gang(self, name, length):
+        began = time.monotonic()
+        while name in self.gangs:
+            worked = time.monotonic() - began
+            for _, run, _ in self.gangs[name].values():
+                run.percent = min(99, int(100 * worked / length))
+                if run.step.get("saves") and worked >= 1:
+                    run.saved = f"{int(worked) * 1000:08x}{run.task[4:12]}"
+            if worked >= length:
+                worker, _, key = next(iter(self.gangs[name].values()))
+                worker._end(key, "done")
+                return
+            await asyncio.sleep(0.02)
+
     # Callers.
 
     def new_id(self):
