Refuse jobs that the coordinator has no memory for

What callers saw: a gateway of 160 MB grew without a bound while jobs came faster than they ended, and would have been ended by its machine. Every job was answered 200.

Cause: nothing bounded the memory of accepted jobs. The coordinator keeps 72 bytes for each task and over 1 KB for each step of every job until it has ended, whichever gateway accepted it.

Fix: the coordinator sums what it holds, and each gateway asks it before it stores a job. A queue may hold as much as is free, and a job take half of what is left of the gateway's share, so that neither other queues nor small jobs starve beside a crowd. A refusal is 503 with Retry-After, and only after the store was read: a job that an earlier request stored is answered 200. The budget is a quarter of the memory, at most 64 MiB; a usual job takes 5 KB.

--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -112,6 +112,8 @@
   millis unready_before_stop{2'500};
   millis shutdown_grace{5'500};
   uint32_t connections = 2'000;  // most callers' connections open at once
+  // Lowers the share of the memory for accepted jobs; 0: the share as it is.
+  uint32_t accepted_jobs_kb = 0;
   // See coordinator_options and placement_options of the workflow module.
   bool feasible_jobs_first = false;
   bool adaptive_latency_margin = false;
--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -201,6 +201,10 @@
   size_t PendingJobCount(const std::string& queue) const;
   bool HasUncommitted() const;
   size_t job_count() const;  // without ended jobs
+  // Memory held for all jobs, with their runs and those that have ended, and
+  // for the jobs of one queue, in bytes. See JobBytes.
+  uint64_t held_bytes() const;
+  uint64_t held_bytes(const std::string& queue) const;
   // Number of active jobs that yield to others, as of the last pass.
   size_t yielding_job_count() const;
   // Mean, over the images of serving tasks, of the latency ratio up to which
--- a/src/app/admission_options.cc
+++ b/src/app/admission_options.cc
@@ -24,6 +24,10 @@
 // its sockets need the rest.
 constexpr uint64_t kBudgetShare = 5;
 constexpr uint64_t kLeastBudget = 1 * kMebi;
+// Share of the memory for accepted jobs. Bounded, because the next coordinator
+// may have a smaller VM and must hold what this one has accepted.
+constexpr uint64_t kJobShare = 4;
+constexpr uint64_t kMostJobBudget = 64 * kMebi;
 // Enough for any number of requests that a process can work on; a share of a
 // large development machine would be no limit.
 constexpr uint64_t kMostBudget = 256 * kMebi;
@@ -86,6 +90,13 @@
   return std::clamp(memory_bytes / kBudgetShare, kLeastBudget, kMostBudget);
 }
 
+uint64_t JobBudget(const config::admission_settings& in,
+                   uint32_t lowered_to_kb) {
+  const uint64_t share = std::min(MemoryOf(in) / kJobShare, kMostJobBudget);
+  return lowered_to_kb > 0 ? std::min(share, uint64_t{lowered_to_kb} * 1024)
+                           : share;
+}
+
 admission_options::admission_options(const config::admission_settings& settings,
                                      observe::metrics& metrics,
                                      observe::event_log& events)
--- a/src/app/admission_options.h
+++ b/src/app/admission_options.h
@@ -29,6 +29,11 @@
 // Memory for requests and answers of a machine with `memory_bytes`.
 uint64_t ReceiveBudget(uint64_t memory_bytes);
 
+// Memory for accepted jobs, in bytes. `lowered_to_kb` lowers it; 0: the share
+// as it is.
+uint64_t JobBudget(const config::admission_settings& in,
+                   uint32_t lowered_to_kb);
+
 // The limits of one process. Refers to `metrics` and `events`.
 class admission_options {
  public:
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -34,6 +34,11 @@
 constexpr millis kEndedInterval{250};
 constexpr size_t kMaxEndedPerWrite = 100 / workflow::kEntriesPerEndedJob;
 
+// A gateway that has not asked for room for this long accepts no jobs.
+constexpr millis kGatewaySilent{5'000};
+// Far more than there are; bounds what unknown peers can leave behind.
+constexpr size_t kMaxGateways = 1'000;
+
 // A store that is away refuses several writes a second.
 constexpr millis kRefusalLogInterval{1'000};
 
@@ -563,6 +568,21 @@
   return coordinator_->PendingJobCount(queue);
 }
 
+workflow::job_room coordinator_host::JobRoom(
+    const workflow::room_question& asked) {
+  const auto now = hooks_.clock();
+  std::erase_if(accepting_gateways_, [now](const auto& known) {
+    return now - known.second > kGatewaySilent;
+  });
+  if (accepting_gateways_.size() < kMaxGateways) {
+    accepting_gateways_[asked.gateway] = now;
+  }
+  return {options_.job_budget_bytes, coordinator_->held_bytes(),
+          coordinator_->held_bytes(asked.queue),
+          static_cast<uint32_t>(accepting_gateways_.size()),
+          std::chrono::duration_cast<millis>(now - jobs_as_of_)};
+}
+
 void coordinator_host::SchedulePump(millis delay) {
   const auto at = hooks_.clock() + delay;
   if (pump_scheduled_ && pump_at_ <= at) {
@@ -699,6 +719,8 @@
   }
   metrics_.Set("chiveglade_jobs_active", {},
                static_cast<double>(coordinator_->job_count()));
+  metrics_.Set("chiveglade_job_memory_bytes", {},
+               static_cast<double>(coordinator_->held_bytes()));
   metrics_.Set("chiveglade_jobs_yielding", {},
                static_cast<double>(coordinator_->yielding_job_count()));
   metrics_.Set("chiveglade_latency_limit", {},
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -20,6 +20,7 @@
 #include "chiveglade/store/table_scan.h"
 #include "chiveglade/workflow/coordinator.h"
 #include "chiveglade/workflow/fenced_writer.h"
+#include "chiveglade/workflow/job_admission.h"
 #include "commit_pacer.h"
 #include "interference_keeper.h"
 #include "operator_feed.h"
@@ -42,7 +43,8 @@
   millis commit_interval{15};
   // What is learned of interference is kept for the next coordinator.
   bool keep_interference = false;
-  size_t max_row_bytes = size_t{64} * 1024;  // of a value in the store
+  size_t max_row_bytes = size_t{64} * 1024;        // of a value in the store
+  uint64_t job_budget_bytes = 64UL * 1024 * 1024;  // for accepted jobs
   workflow::coordinator_options coordinator;
 };
 
@@ -88,6 +90,9 @@
   std::optional<workflow::job_view> FindJobView(const std::string& id) const;
   // None if jobs that were accepted lately may be unknown.
   std::optional<size_t> PendingJobCount(const std::string& queue) const;
+  // The memory for accepted jobs, as it concerns a gateway that accepts jobs of
+  // a queue. Only while ready.
+  workflow::job_room JobRoom(const workflow::room_question& asked);
   // When the last report came, in any life of the role.
   boot_time reported_at() const { return reported_at_; }
 
@@ -166,6 +171,8 @@
   // What `coordinator_` was given last; null: nothing yet.
   std::shared_ptr<const operator_state> adopted_;
   workflow::leader_row leader_;
+  // Gateways that asked for room, with the time.
+  std::map<std::string, boot_time> accepting_gateways_;
   commit_pacer pacer_;
   boot_time reported_at_{};
   net::asio::steady_timer pump_timer_;
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -185,6 +185,8 @@
   options.coordinator.initial_interference = settings.initial_interference;
   options.keep_interference = settings.keep_interference;
   options.max_row_bytes = settings.max_row_bytes;
+  options.job_budget_bytes =
+      JobBudget(settings.admission, settings.accepted_jobs_kb);
   options.coordinator.remote_slowdown = settings.remote_slowdown;
   host = std::make_unique<coordinator_host>(
       control, peers, metrics, std::move(options),
@@ -211,18 +213,19 @@
           log});
   front = std::make_unique<job_front>(
       control, peers, metrics, *host,
-      job_front::hooks{table, &boot_clock::now, &UnixMillis,
-                       [this] { return operators->newest(); }, log,
-                       [this](const operator_view& view) {
-                         return freshness->IsCurrent(view);
-                       },
-                       [this] { return link.is_away(); },
-                       [this] { return relay->access(); },
-                       [this](const net::http_request& request, millis timeout,
-                              const net::yield& yield) {
-                         return relay->Forward(request, timeout, yield);
-                       },
-                       settings.max_row_bytes});
+      job_front::hooks{
+          table, &boot_clock::now, &UnixMillis,
+          [this] { return operators->newest(); }, log,
+          [this](const operator_view& view) {
+            return freshness->IsCurrent(view);
+          },
+          [this] { return link.is_away(); }, [this] { return relay->access(); },
+          [this](const net::http_request& request, millis timeout,
+                 const net::yield& yield) {
+            return relay->Forward(request, timeout, yield);
+          },
+          settings.max_row_bytes, settings.name,
+          JobBudget(settings.admission, settings.accepted_jobs_kb)});
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
@@ -325,6 +328,15 @@
     return answer ? net::http_reply{200, {}, *answer}
                   : net::http_reply{404, {}, ""};
   }
+  if (path == kJobRoomPath) {
+    const auto asked = workflow::DecodeRoomQuestion(body);
+    if (!asked) {
+      return {400, {}, asked.last_reason().detail};
+    }
+    return host->ready()
+               ? net::http_reply{200, {}, Encode(host->JobRoom(*asked))}
+               : net::http_reply{404, {}, ""};
+  }
   if (path == kStorePath) {
     return {IsCutOff() ? 503 : 200, {}, ""};
   }
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -29,6 +29,8 @@
 // a caller that is told early can still be served in time elsewhere.
 constexpr int kTargetShare = 5;
 constexpr millis kPeerTimeout{350};
+// Callers wait for this answer before their job is stored.
+constexpr millis kRoomTimeout{150};
 // Longest wait for the reply to a request that a peer was given. As long as a
 // submission is worked on there.
 constexpr millis kMaxForwardTime{1'600};
@@ -100,6 +102,7 @@
                      hooks hooks)
     : on_(std::move(on)),
       peers_(peers),
+      admission_(hooks.job_budget_bytes),
       metrics_(metrics),
       host_(host),
       hooks_(std::move(hooks)) {}
@@ -278,6 +281,7 @@
   accepted.attempts = in.queue.attempts;
   accepted.accepted_unix_ms = hooks_.unix_ms();
   accepted.job = *std::move(job);
+  const uint64_t bytes = workflow::JobBytes(accepted.job);
   auto row = workflow::EncodeSubmission(accepted);
   if (row.size() > hooks_.max_row_bytes) {
     return RefuseJob(in, 413,
@@ -290,11 +294,26 @@
                                     {"reason", ToString(Access())}});
     return Refuse(503, "store_away", "the store is out of reach at present");
   }
+  if (!HasRoom(in, bytes, yield)) {
+    return RefuseUnlessStored(
+        in,
+        {"too_many_jobs", "the jobs that were accepted leave no room for it"},
+        yield);
+  }
+  bool may_be_stored = false;
+  auto out = Store(in, std::move(row), may_be_stored, yield);
+  admission_.Finish(bytes, may_be_stored, hooks_.clock());
+  return out;
+}
+
+net::http_reply job_front::Store(const call& in,
+                                 std::string row,
+                                 bool& may_be_stored,
+                                 const net::yield& yield) {
   const auto change = workflow::AcceptJob(in.id, std::move(row));
   const auto until =
       in.began + std::min(in.time_left - kAnswerMargin, kMaxSubmitTime);
   const auto refuse_at = in.began + in.queue.latency_target / kTargetShare;
-  bool may_be_stored = false;
   for (;;) {
     const auto outcome = Commit(change, yield);
     bool is_stored = outcome.status == commit_status::kCommitted ||
@@ -308,6 +327,7 @@
     }
     const auto now = hooks_.clock();
     if (is_stored) {
+      may_be_stored = true;
       hooks_.log(
           "job_accepted",
           {{"job", in.id},
@@ -345,6 +365,45 @@
   return Refuse(status, why.code, why.detail);
 }
 
+bool job_front::HasRoom(const call& in,
+                        uint64_t bytes,
+                        const net::yield& yield) {
+  const auto& queue = in.queue.name;
+  const workflow::room_question question{hooks_.gateway, queue};
+  const auto now = hooks_.clock();
+  if (host_.ready()) {
+    admission_.SetRoom(queue, host_.JobRoom(question), now);
+  } else if (host_.leader().epoch > 0 && admission_.TakeQuestion(queue, now)) {
+    const auto reply = CallPeer(peers_, host_.leader().address, kJobRoomPath,
+                                Encode(question), kRoomTimeout, yield);
+    const auto room = reply && reply->status == 200
+                          ? workflow::DecodeJobRoom(reply->body)
+                          : result<workflow::job_room>(reason{"no_answer", ""});
+    if (room) {
+      admission_.SetRoom(queue, *room, now);
+    }
+  }
+  return admission_.Admit(queue, bytes);
+}
+
+net::http_reply job_front::RefuseUnlessStored(const call& in,
+                                              const reason& why,
+                                              const net::yield& yield) {
+  const auto stored = Read(kJobPrefix + in.id, yield);
+  const auto ended = stored && !*stored
+                         ? ReadEnded(in.id, yield)
+                         : result<phase_or_none>(phase_or_none());
+  if (!stored || !ended) {
+    return net::MakeRefusal(504, verdict::kMayHaveRun, "store_unknown",
+                            "the store did not say whether an earlier request "
+                            "was accepted; send it again");
+  }
+  if (*stored || *ended) {
+    return Json(200, platform::EncodePhase(job_phase::kQueued));
+  }
+  return RefuseJob(in, 503, why);
+}
+
 net::http_reply job_front::Show(const call& in, const net::yield& yield) {
   const auto phase = FindPhase(in.id, yield);
   if (!phase) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -10,6 +10,7 @@
 
 #include "chiveglade/net/http_message.h"
 #include "chiveglade/observe/metrics.h"
+#include "chiveglade/workflow/job_admission.h"
 #include "chiveglade/workflow/job_record.h"
 #include "coordinator_host.h"
 #include "request_relay.h"
@@ -41,6 +42,9 @@
         forward;
     // Longest value of a row that the store takes.
     size_t max_row_bytes = size_t{64} * 1024;
+    std::string gateway = {};  // name of this process
+    // Memory for accepted jobs that is assumed until a coordinator is heard.
+    uint64_t job_budget_bytes = 64UL * 1024 * 1024;
   };
 
   job_front(strand on,
@@ -85,6 +89,18 @@
                          const net::yield& yield);
   // Logs and refuses a job that can never be accepted.
   net::http_reply RefuseJob(const call& in, int status, const reason& why);
+  // Writes the row of a job; `may_be_stored` says whether it may be there.
+  net::http_reply Store(const call& in,
+                        std::string row,
+                        bool& may_be_stored,
+                        const net::yield& yield);
+  // Returns true, and counts the job, if the coordinator has memory for it.
+  bool HasRoom(const call& in, uint64_t bytes, const net::yield& yield);
+  // Answers a job that is not to be stored now. It may have been stored by an
+  // earlier try of the caller, and is then not refused.
+  net::http_reply RefuseUnlessStored(const call& in,
+                                     const reason& why,
+                                     const net::yield& yield);
   net::http_reply Show(const call& in, const net::yield& yield);
   net::http_reply Cancel(const call& in, const net::yield& yield);
   net::http_reply Pending(const workflow::queue_policy& queue,
@@ -121,6 +137,7 @@
 
   strand on_;
   peer_pool& peers_;
+  workflow::job_admission admission_;
   observe::metrics& metrics_;
   coordinator_host& host_;
   hooks hooks_;
--- a/src/app/peer_call.h
+++ b/src/app/peer_call.h
@@ -18,6 +18,8 @@
 inline constexpr char kClaimPath[] = "/claim";      // body: a candidate
 inline constexpr char kPhasePath[] = "/phase";      // body: a job's ID
 inline constexpr char kPendingPath[] = "/pending";  // body: a queue's name
+// Body: a room_question; answered with a job_room.
+inline constexpr char kJobRoomPath[] = "/job-room";
 inline constexpr char kStorePath[] = "/store";      // 200 if it is reached
 inline constexpr char kRequestPath[] = "/request";  // body: a caller's request
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -18,6 +18,7 @@
 constexpr double kLeastMemoryMb = 32;
 constexpr double kLeastDescriptors = 256;
 constexpr double kMaxMachineSize = 1e9;
+constexpr int64_t kMaxKilobytes = 16LL * 1024 * 1024;
 
 constexpr double kMaxProcessorShare = 1'024;
 constexpr double kMaxLinkMbps = 1'000'000;
@@ -169,7 +170,6 @@
 }
 
 void ReadAdmission(json_reader& in, admission_settings& out) {
-  constexpr int64_t kMaxKilobytes = 16LL * 1024 * 1024;
   in.Real("memory_mb", out.memory_mb, 0, kMaxMachineSize,
           "Memory of the machine that this process may use, in MB. 0: the "
           "system is asked.");
@@ -263,6 +263,15 @@
   in.Number("connections", out.connections, {1, 1'000'000}, presence::kOptional,
             "Most callers' connections open at one time. A share of "
             "`max_fds` may lower it.");
+  in.Number("accepted_jobs_kb", out.accepted_jobs_kb, {0, kMaxKilobytes},
+            presence::kOptional,
+            "Most memory for accepted jobs that have not ended, in KiB. Only "
+            "lowers the share of `memory_mb` that applies otherwise, a quarter "
+            "but at most 64 MiB. Every process that may coordinate should have "
+            "the same. 0: the share.");
+  if (out.accepted_jobs_kb != 0 && out.accepted_jobs_kb < 1'024) {
+    in.Problem("accepted_jobs_kb", "0 or at least 1024");
+  }
   ReadAdmission(in, out.admission);
   in.Flag("feasible_jobs_first", out.feasible_jobs_first,
           "Whether jobs that cannot meet their objective any more yield at "
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -120,6 +120,12 @@
        kind::kGauge,
        {},
        "Jobs that have not ended, at the coordinator."},
+      {"chiveglade_job_memory_bytes",
+       kind::kGauge,
+       {},
+       "Memory held for accepted jobs, at the coordinator. Gateways refuse "
+       "jobs "
+       "before it reaches the budget for them."},
       {"chiveglade_jobs_yielding",
        kind::kGauge,
        {},
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "chiveglade/workflow/job_admission.h"
 #include "src/workflow/coordinator_state.h"
 
 namespace chiveglade::workflow {
@@ -183,6 +184,20 @@
   }
 }
 
+void coordinator::state::AddJobBytes(const job_state& job) {
+  job_bytes += job.bytes;
+  job_bytes_by_queue[job.in.queue] += job.bytes;
+}
+
+void coordinator::state::RemoveJobBytes(const job_state& job) {
+  job_bytes -= job.bytes;
+  const auto of_queue = job_bytes_by_queue.find(job.in.queue);
+  of_queue->second -= job.bytes;
+  if (of_queue->second == 0) {
+    job_bytes_by_queue.erase(of_queue);
+  }
+}
+
 coordinator::coordinator(coordinator_options options)
     : state_(std::make_unique<state>()) {
   state_->options = std::move(options);
@@ -228,6 +243,8 @@
   auto job = std::make_unique<job_state>();
   job->id = id;
   job->in = in;
+  job->bytes = JobBytes(in.job);
+  state_->AddJobBytes(*job);
   job->record = MakeJobRecord(in.job);
   if (progress) {
     job->record = *progress;
@@ -434,6 +451,7 @@
     for (uint32_t row = 0; row < ProgressRowCount(at->second->record); ++row) {
       state_->leftover_progress.insert({id, row});
     }
+    state_->RemoveJobBytes(*at->second);
     state_->jobs.erase(at);
   }
   std::erase_if(state_->archivable, [&](const std::string& id) {
@@ -489,6 +507,20 @@
   return state_->active.size();
 }
 
+uint64_t coordinator::held_bytes() const {
+  uint64_t runs = 0;
+  for (const auto& [name, vm] : state_->vms) {
+    runs += vm.runs.size();
+  }
+  return state_->job_bytes + runs * kRunBytes +
+         state_->ended.size() * kEndedJobBytes;
+}
+
+uint64_t coordinator::held_bytes(const std::string& queue) const {
+  const auto found = state_->job_bytes_by_queue.find(queue);
+  return found == state_->job_bytes_by_queue.end() ? 0 : found->second;
+}
+
 size_t coordinator::vm_count() const {
   return state_->vms.size();
 }
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -139,6 +139,7 @@
 struct job_state {
   std::string id;
   submission in;
+  uint64_t bytes = 0;  // held for it; see JobBytes
   job_record record;
   // The phase in the current batch and the durable one. `record` has the one
   // that was decided.
@@ -195,6 +196,9 @@
   boot_time informed_as_of = boot_time::max();
   std::map<std::string, std::unique_ptr<job_state>> jobs;
   std::set<std::string> active;  // ids of jobs without a final phase
+  // Sums of job_state::bytes, in all and by queue.
+  uint64_t job_bytes = 0;
+  std::map<std::string, uint64_t> job_bytes_by_queue;
   std::map<std::string, ended_view> ended;
   // Keys of `ended` by the time of their end.
   std::set<std::pair<boot_time, std::string>> ended_by_time;
@@ -248,6 +252,8 @@
   // Lets the job be moved to the ended ones if nothing of it can change.
   void ArchiveIfOver(job_state& job);
   void AddEnded(const std::string& id, const ended_view& view);
+  void AddJobBytes(const job_state& job);
+  void RemoveJobBytes(const job_state& job);
 
   // Runs.
   void AddRun(vm_state& vm, const run_key& run, hosted_run hosted);
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -22,7 +22,7 @@
 // A gateway's front without sockets: the store answers through the event loop,
 // and nobody coordinates, so states come from the stored rows.
 struct front_world {
-  front_world() {
+  explicit front_world(uint64_t job_budget_bytes = 64UL * 1024 * 1024) {
     workflow::queue_policy queue;
     queue.name = "queue";
     queue.host = "host";
@@ -71,7 +71,8 @@
               return net::http_reply{peer_status,
                                      {{"chiveglade-catalogue", peer_version}},
                                      "from the peer"};
-            }});
+            },
+            size_t{64} * 1024, "gateway", job_budget_bytes});
   }
 
   operator_view View() const {
@@ -146,6 +147,23 @@
   CHECK(job->attempts == 3);
 }
 
+TEST_CASE("without room a job is refused unless it is stored already") {
+  front_world world(1);
+  const std::string other = "/jobs/00000000000000aa";
+  REQUIRE(world.Submit().status == 200);
+  const auto refused = world.Send("POST", other, kBody);
+  CHECK(refused.status == 503);
+  CHECK(net::FindHeader(refused.headers, "retry-after") == "1");
+  CHECK(refused.body.find("not_run") != std::string::npos);
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + "00000000000000aa"));
+  CHECK(world.Submit().status == 200);
+  // If the store cannot tell, an earlier request may have been accepted.
+  world.store.SetFaults([](const std::string& call, const std::string&) {
+    return call == "read" ? store_fault::kRefuse : store_fault::kNone;
+  });
+  CHECK(world.Send("POST", other, kBody).status == 504);
+}
+
 TEST_CASE("a job that arrives twice is one job") {
   front_world world;
   CHECK(world.Submit().status == 200);
--- /dev/null
+++ b/tests/process/accepted_work_test.py
@@ -0,0 +1,206 @@
+"""Callers that hand in more valid work than a gateway can hold.
+
+The jobs of each case are within every limit of a single request. Each case checks that the processes live, that their
+resident memory and open descriptors stay under a bound, that what was accepted is still known and what was refused is
+not, that a refusal says that nothing ran and when to come again, and that a small job is accepted afterwards. Nothing
+depends on how fast the machine is.
+"""
+
+import argparse
+import collections
+import http.client
+import json
+import pathlib
+import sys
+import threading
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+import admission_test as base  # noqa: E402
+
+# Far below the share of a VM, so that few jobs exceed it.
+base.LOWERED["accepted_jobs_kb"] = 8 * base.KIB
+CALLERS = 30
+
+
+def job(steps):
+    return json.dumps({"spec": "{}", "steps": steps}).encode()
+
+
+def step(**fields):
+    return {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 100, "image": "app", **fields}
+
+
+MANY_TASKS = job([step(count=1000)])
+MANY_STEPS = job([step(image="i" * 200) for _ in range(120)])
+
+
+class System(base.System):
+    """Optionally with a second gateway."""
+
+    def __init__(self, program, known, directory):
+        super().__init__(program, known, directory)
+        self.program, self.known, self.directory = program, known, directory
+
+    def add_gateway(self):
+        names = ["caller", "ready", "peer", "metrics"]
+        at = dict(zip(names, base.free_ports(len(names)), strict=True))
+        settings = {"name": "g1", "data_centre": "z0", "store": [f"127.0.0.1:{self.store.port}"]}
+        settings |= {f"{name}_listen": f"127.0.0.1:{port}" for name, port in at.items()}
+        directory = self.directory / "second"
+        directory.mkdir()
+        gateway = base.Process(self.program, "gateway", settings, self.known, directory)
+        self.processes.append(gateway)
+        base.wait_for(lambda: base.answer(at["ready"], "GET", "/") == 200, "the second gateway to be ready")
+        return gateway, at
+
+    def coordinator_is(self, port, name):
+        status = ask(port, "GET", "/status")
+        return status.status == 200 and json.loads(status.body)["coordinator"] == name
+
+
+Answer = collections.namedtuple("Answer", "status fields body")
+
+
+def call(connection, method, path, body=None):
+    connection.request(method, path, body, {"Host": "jobs.example", "X-Deadline-Ms": "3000"})
+    reply = connection.getresponse()
+    return Answer(reply.status, dict((k.lower(), v) for k, v in reply.getheaders()), reply.read())
+
+
+def ask(port, method, path, body=None):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=base.PATIENCE_S)
+    try:
+        return call(connection, method, path, body)
+    finally:
+        connection.close()
+
+
+class Crowd:
+    """Callers that send one request at a time each; keeps what they were told."""
+
+    def __init__(self, port, callers=CALLERS):
+        self.port = port
+        self.callers = callers
+        self.accepted, self.refused, self.unknown = [], [], []
+        self.problems = []
+
+    def each(self, work):
+        """Runs `work(connection, number)` for each caller on a thread of its own."""
+
+        def run(number):
+            connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=base.PATIENCE_S)
+            work(connection, number)
+            connection.close()
+
+        threads = [threading.Thread(target=run, args=(number,)) for number in range(self.callers)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def submit(self, body, jobs, first=0):
+        def work(connection, number):
+            for n in range(jobs):
+                name = f"{(number * 7 + n) % 16:x}{first + number * jobs + n:015x}"
+                try:
+                    reply = call(connection, "POST", f"/jobs/{name}", body)
+                except (OSError, http.client.HTTPException):
+                    connection.close()
+                    self.unknown.append(name)
+                    continue
+                if reply.status == 200:
+                    self.accepted.append(name)
+                elif reply.status in (429, 503):
+                    self.refused.append(name)
+                    if not reply.fields.get("retry-after", "").isdigit():
+                        self.problems.append(f"no Retry-After with {reply.status}: {reply.body}")
+                    if b"not_run" not in reply.body:
+                        self.problems.append(f"no verdict with {reply.status}: {reply.body}")
+                else:
+                    self.unknown.append(name)
+
+        self.each(work)
+        print(f"  {len(self.accepted)} accepted, {len(self.refused)} refused, {len(self.unknown)} unknown", flush=True)
+
+    def cancel(self):
+        pending = collections.deque(self.accepted)
+
+        def work(connection, _):
+            while pending:
+                try:
+                    name = pending.popleft()
+                except IndexError:
+                    return
+                base.wait_for(lambda name=name: call(connection, "DELETE", f"/jobs/{name}").status in (200, 410),
+                              f"the cancellation of {name}")
+
+        self.each(work)
+        self.accepted.clear()
+
+    def check(self, port=None):
+        """What was accepted is known, and what was refused is not."""
+        port = port or self.port
+        assert not self.problems, self.problems[:3]
+        for names, expected in ((self.accepted, 200), (self.refused[:200], 410)):
+            for name in names:
+                base.wait_for(lambda name=name, expected=expected: ask(port, "GET", f"/jobs/{name}").status == expected,
+                              f"the answer {expected} for {name}")
+
+
+def finish(system, crowd):
+    crowd.check()
+    base.check(system, [], base.job_is_taken(system))
+
+
+def jobs_of_many_tasks(system):
+    """Nothing bounded the memory of accepted jobs, which takes about 75 bytes for each of their tasks."""
+    crowd = Crowd(system.ports["caller"])
+    crowd.submit(MANY_TASKS, 60)
+    finish(system, crowd)
+
+
+def jobs_of_many_steps(system):
+    """The same with steps, each of which takes a few hundred bytes."""
+    crowd = Crowd(system.ports["caller"])
+    crowd.submit(MANY_STEPS, 60)
+    finish(system, crowd)
+
+
+def jobs_through_another_gateway(system):
+    """The coordinator holds what other gateways accept, and its successor must hold it too."""
+    base.wait_for(lambda: system.coordinator_is(system.ports["metrics"], "g0"), "g0 to coordinate")
+    _, ports = system.add_gateway()
+    crowd = Crowd(ports["caller"])
+    crowd.submit(MANY_TASKS, 60)
+    finish(system, crowd)
+    system.processes.remove(system.gateway)
+    system.gateway.stop()
+    base.wait_for(lambda: system.coordinator_is(ports["metrics"], "g1"), "g1 to coordinate")
+    crowd.check()
+    base.check(system, [], lambda: base.answer(ports["caller"], "POST", "/jobs/00000000000000ff", base.JOB) == 200)
+
+
+def rounds_of_cancelled_jobs(system):
+    """What a job leaves behind when it has ended must not add up."""
+    for number in range(6):
+        crowd = Crowd(system.ports["caller"])
+        crowd.submit(MANY_TASKS, 20, first=number * 1_000_000)
+        crowd.check()
+        crowd.cancel()
+    base.check(system, [], base.job_is_taken(system))
+
+
+CASES = [jobs_of_many_tasks, jobs_of_many_steps, jobs_through_another_gateway, rounds_of_cancelled_jobs]
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default=pathlib.Path(__file__).resolve().parents[2] / "build")
+    parser.add_argument("--case", action="append", help="only this case")
+    arguments = parser.parse_args()
+    return base.run_cases(CASES, arguments.build, arguments.case, System)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/process/admission_test.py
+++ b/tests/process/admission_test.py
@@ -516,18 +516,15 @@
     return {"gateway": text.split("## Gateway")[1].split("## ")[0], "runner": text.split("## Runner")[1]}
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", default=pathlib.Path(__file__).resolve().parents[2] / "build")
-    parser.add_argument("--case", action="append", help="only this case")
-    arguments = parser.parse_args()
-    program = str(pathlib.Path(arguments.build) / "chiveglade")
+def run_cases(cases, build, names, make_system=System):
+    """Runs the cases, or those with the names given, each against processes of its own."""
+    program = str(pathlib.Path(build) / "chiveglade")
     known = settings_known(program)
-    cases = [case for case in CASES if not arguments.case or case.__name__ in arguments.case]
+    cases = [case for case in cases if not names or case.__name__ in names]
     failed = 0
     for case in cases:
         with tempfile.TemporaryDirectory() as directory:
-            system = System(program, known, pathlib.Path(directory))
+            system = make_system(program, known, pathlib.Path(directory))
             try:
                 system.wait_ready()
                 case(system)
@@ -541,5 +538,13 @@
     return 1 if failed else 0
 
 
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default=pathlib.Path(__file__).resolve().parents[2] / "build")
+    parser.add_argument("--case", action="append", help="only this case")
+    arguments = parser.parse_args()
+    return run_cases(CASES, arguments.build, arguments.case)
+
+
 if __name__ == "__main__":
     sys.exit(main())
