Bound the requests that wait for the store

What callers saw: while the store did not answer, a gateway grew with each job that was handed in, beyond its budget, and could have run out of memory or descriptors.

Cause: a request that is being handled was charged with its body only. It held the decoded job as well, which for 1,000 steps in 12 KB is 20 times as long, and several copies of the row on its way to the store, on a connection of its own.

Fix: the decoded job is dropped before the first wait; requests in hand are limited to half of the descriptors that are kept for calls, and what waits with its copies to half of the receive budget.

--- a/src/app/admission_options.cc
+++ b/src/app/admission_options.cc
@@ -16,6 +16,9 @@
 constexpr uint64_t kFileDescriptors = 200;
 // Share of the others for calls to the store, the worker and peers.
 constexpr uint64_t kCallShare = 8;
+// Share of those, and of the receive budget, for callers' requests that wait.
+// The other calls are those of the coordinator.
+constexpr uint64_t kWaitingShare = 2;
 // Shares of the rest are given in sixteenths.
 constexpr uint64_t kSixteenths = 16;
 constexpr uint64_t kLeastConnections = 8;
@@ -65,6 +68,10 @@
              : share;
 }
 
+uint64_t UsableDescriptors(uint64_t max_fds) {
+  return max_fds > kFileDescriptors ? max_fds - kFileDescriptors : 0;
+}
+
 uint32_t SocketBuffer(uint64_t budget, uint32_t connections) {
   return static_cast<uint32_t>(
       std::clamp(budget / connections, kLeastSocketBuffer, kMostSocketBuffer));
@@ -73,8 +80,7 @@
 }  // namespace
 
 uint32_t ConnectionShare(port_use of, uint64_t max_fds) {
-  const uint64_t usable =
-      max_fds > kFileDescriptors ? max_fds - kFileDescriptors : 0;
+  const uint64_t usable = UsableDescriptors(max_fds);
   const uint64_t accepted = usable - usable / kCallShare;
   uint64_t sixteenths = 1;
   if (of == port_use::kClients) {
@@ -152,6 +158,12 @@
   return base;
 }
 
+request_limits admission_options::Waiting() const {
+  const uint64_t calls = UsableDescriptors(max_fds_) / kCallShare;
+  return {std::max(calls / kWaitingShare, kLeastConnections),
+          admit_->budget_bytes() / kWaitingShare};
+}
+
 void admission_options::UpdateGauges() const {
   metrics_.Set("chiveglade_admission_held_bytes", {},
                static_cast<double>(admit_->held_bytes()));
--- a/src/app/admission_options.h
+++ b/src/app/admission_options.h
@@ -29,6 +29,13 @@
 // Memory for requests and answers of a machine with `memory_bytes`.
 uint64_t ReceiveBudget(uint64_t memory_bytes);
 
+// Callers' requests that may wait at one time, for the store or a peer, and the
+// memory for their messages, in bytes.
+struct request_limits {
+  uint64_t requests = 256;
+  uint64_t bytes = 16UL * 1024 * 1024;
+};
+
 // Memory for accepted jobs, in bytes. `lowered_to_kb` lowers it; 0: the share
 // as it is.
 uint64_t JobBudget(const config::admission_settings& in,
@@ -46,6 +53,9 @@
   // `base` with the limits of the peer port.
   net::h2_options Peers(net::h2_options base) const;
 
+  // Of callers' requests that wait for the store or a peer.
+  request_limits Waiting() const;
+
   const std::shared_ptr<net::admission>& admit() const { return admit_; }
 
   // Reports what is held.
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -213,19 +213,20 @@
           log});
   front = std::make_unique<job_front>(
       control, peers, metrics, *host,
-      job_front::hooks{
-          table, &boot_clock::now, &UnixMillis,
-          [this] { return operators->newest(); }, log,
-          [this](const operator_view& view) {
-            return freshness->IsCurrent(view);
-          },
-          [this] { return link.is_away(); }, [this] { return relay->access(); },
-          [this](const net::http_request& request, millis timeout,
-                 const net::yield& yield) {
-            return relay->Forward(request, timeout, yield);
-          },
-          settings.max_row_bytes, settings.name,
-          JobBudget(settings.admission, settings.accepted_jobs_kb)});
+      job_front::hooks{table, &boot_clock::now, &UnixMillis,
+                       [this] { return operators->newest(); }, log,
+                       [this](const operator_view& view) {
+                         return freshness->IsCurrent(view);
+                       },
+                       [this] { return link.is_away(); },
+                       [this] { return relay->access(); },
+                       [this](const net::http_request& request, millis timeout,
+                              const net::yield& yield) {
+                         return relay->Forward(request, timeout, yield);
+                       },
+                       settings.max_row_bytes, settings.name,
+                       JobBudget(settings.admission, settings.accepted_jobs_kb),
+                       limits.Waiting()});
   member = std::make_unique<member_row>(control, table,
                                         kMemberPrefix + settings.name,
                                         ToString(settings.peer_listen));
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -8,6 +8,7 @@
 
 #include "peer_call.h"
 #include "platform/job_codec.h"
+#include "scoped_share.h"
 
 namespace chiveglade::app {
 
@@ -29,6 +30,10 @@
 // a caller that is told early can still be served in time elsewhere.
 constexpr int kTargetShare = 5;
 constexpr millis kPeerTimeout{350};
+// Memory of a request that waits: its coroutine, its call, and the copies of
+// its message in the steps from the row to the socket.
+constexpr uint64_t kWaitingBytes = 16UL * 1024;
+constexpr uint64_t kMessageCopies = 8;
 // Callers wait for this answer before their job is stored.
 constexpr millis kRoomTimeout{150};
 // Longest wait for the reply to a request that a peer was given. As long as a
@@ -65,6 +70,15 @@
   return out;
 }
 
+uint64_t WaitingBytes(size_t message) {
+  return kWaitingBytes + kMessageCopies * message;
+}
+
+net::http_reply RefuseToWait() {
+  return Refuse(503, "overloaded",
+                "there is no memory for another request that waits");
+}
+
 millis DeadlineOf(const net::http_request& request) {
   const auto text = net::FindHeader(request.headers, platform::kDeadlineHeader);
   int64_t value = 0;
@@ -111,7 +125,10 @@
                                   const net::yield& yield) {
   const auto began = hooks_.clock();
   std::string kind = "other";
-  auto reply = Access() == store_access::kThroughPeer
+  const scoped_share open(open_requests_, 1, hooks_.limits.requests);
+  auto reply = !open.granted() ? Refuse(503, "overloaded",
+                                        "too many requests wait for an answer")
+               : Access() == store_access::kThroughPeer
                    ? Forward(request, yield)
                    : HandleHere(request, kind, yield);
   const char* outcome = reply.status < 300    ? "answered"
@@ -161,6 +178,11 @@
   const auto timeout =
       std::min(DeadlineOf(request) - kAnswerMargin, kMaxForwardTime);
   seen_version_ = std::max(seen_version_, CatalogueVersion());
+  const scoped_share waiting(waiting_bytes_, WaitingBytes(request.body.size()),
+                             hooks_.limits.bytes);
+  if (!waiting.granted()) {
+    return RefuseToWait();
+  }
   auto passed_on = request;
   passed_on.headers.emplace_back(kVersionHeader, std::to_string(seen_version_));
   auto reply = hooks_.forward(passed_on, timeout, yield);
@@ -267,12 +289,12 @@
   return Refuse(status, code, detail);
 }
 
-net::http_reply job_front::Submit(const call& in,
-                                  const std::string& body,
-                                  const net::yield& yield) {
+result<job_front::encoded_job> job_front::EncodeJob(
+    const call& in,
+    const std::string& body) const {
   auto job = platform::DecodeJob(body);
   if (!job) {
-    return RefuseJob(in, 400, job.last_reason());
+    return job.last_reason();
   }
   workflow::submission accepted;
   accepted.queue = in.queue.name;
@@ -281,9 +303,20 @@
   accepted.attempts = in.queue.attempts;
   accepted.accepted_unix_ms = hooks_.unix_ms();
   accepted.job = *std::move(job);
-  const uint64_t bytes = workflow::JobBytes(accepted.job);
-  auto row = workflow::EncodeSubmission(accepted);
-  if (row.size() > hooks_.max_row_bytes) {
+  return encoded_job{workflow::EncodeSubmission(accepted),
+                     workflow::JobBytes(accepted.job)};
+}
+
+net::http_reply job_front::Submit(const call& in,
+                                  const std::string& body,
+                                  const net::yield& yield) {
+  // The decoded job may be far longer than its row, so it is dropped before
+  // this request waits for anything.
+  auto job = EncodeJob(in, body);
+  if (!job) {
+    return RefuseJob(in, 400, job.last_reason());
+  }
+  if (job->row.size() > hooks_.max_row_bytes) {
     return RefuseJob(in, 413,
                      {"job_too_large", "the job exceeds a row of the store"});
   }
@@ -294,15 +327,20 @@
                                     {"reason", ToString(Access())}});
     return Refuse(503, "store_away", "the store is out of reach at present");
   }
-  if (!HasRoom(in, bytes, yield)) {
+  const scoped_share waiting(waiting_bytes_, WaitingBytes(job->row.size()),
+                             hooks_.limits.bytes);
+  if (!waiting.granted()) {
+    return RefuseToWait();
+  }
+  if (!HasRoom(in, job->bytes, yield)) {
     return RefuseUnlessStored(
         in,
         {"too_many_jobs", "the jobs that were accepted leave no room for it"},
         yield);
   }
   bool may_be_stored = false;
-  auto out = Store(in, std::move(row), may_be_stored, yield);
-  admission_.Finish(bytes, may_be_stored, hooks_.clock());
+  auto out = Store(in, std::move(job->row), may_be_stored, yield);
+  admission_.Finish(job->bytes, may_be_stored, hooks_.clock());
   return out;
 }
 
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "admission_options.h"
 #include "chiveglade/net/http_message.h"
 #include "chiveglade/observe/metrics.h"
 #include "chiveglade/workflow/job_admission.h"
@@ -45,6 +46,7 @@
     std::string gateway = {};  // name of this process
     // Memory for accepted jobs that is assumed until a coordinator is heard.
     uint64_t job_budget_bytes = 64UL * 1024 * 1024;
+    request_limits limits = {};
   };
 
   job_front(strand on,
@@ -89,6 +91,12 @@
                          const net::yield& yield);
   // Logs and refuses a job that can never be accepted.
   net::http_reply RefuseJob(const call& in, int status, const reason& why);
+  // The row of a job, and what a coordinator holds for it.
+  struct encoded_job {
+    std::string row;
+    uint64_t bytes = 0;
+  };
+  result<encoded_job> EncodeJob(const call& in, const std::string& body) const;
   // Writes the row of a job; `may_be_stored` says whether it may be there.
   net::http_reply Store(const call& in,
                         std::string row,
@@ -138,6 +146,8 @@
   strand on_;
   peer_pool& peers_;
   workflow::job_admission admission_;
+  uint64_t open_requests_ = 0;
+  uint64_t waiting_bytes_ = 0;  // held by requests that wait
   observe::metrics& metrics_;
   coordinator_host& host_;
   hooks hooks_;
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,7 +24,8 @@
 // A gateway's front without sockets: the store answers through the event loop,
 // and nobody coordinates, so states come from the stored rows.
 struct front_world {
-  explicit front_world(uint64_t job_budget_bytes = 64UL * 1024 * 1024) {
+  explicit front_world(uint64_t job_budget_bytes = 64UL * 1024 * 1024,
+                       request_limits limits = {}) {
     workflow::queue_policy queue;
     queue.name = "queue";
     queue.host = "host";
@@ -72,7 +75,7 @@
                                      {{"chiveglade-catalogue", peer_version}},
                                      "from the peer"};
             },
-            size_t{64} * 1024, "gateway", job_budget_bytes});
+            size_t{64} * 1024, "gateway", job_budget_bytes, limits});
   }
 
   operator_view View() const {
@@ -104,6 +107,28 @@
     return out;
   }
 
+  // Hands in so many jobs at once; returns the status of each answer.
+  std::vector<int> SendAll(size_t jobs) {
+    std::vector<int> out(jobs);
+    for (size_t i = 0; i < jobs; ++i) {
+      net::asio::spawn(
+          control,
+          [this, i, &out](const net::yield& yield) {
+            out[i] = front
+                         ->Handle({"POST",
+                                   "/jobs/00000000000000a" + std::to_string(i),
+                                   {{"host", "host:80"}},
+                                   kBody},
+                                  yield)
+                         .status;
+          },
+          net::asio::detached);
+    }
+    loop.restart();
+    loop.run();
+    return out;
+  }
+
   net::http_reply Submit() {
     return Send("POST", std::string("/jobs/") + kId, kBody);
   }
@@ -164,6 +189,23 @@
   CHECK(world.Send("POST", other, kBody).status == 504);
 }
 
+TEST_CASE("requests that wait for the store are bounded") {
+  front_world world(64UL * 1024 * 1024, {2, 64UL * 1024 * 1024});
+  // Commits are answered by the loop, after all requests have begun.
+  const auto replies = world.SendAll(4);
+  CHECK(std::count(replies.begin(), replies.end(), 200) == 2);
+  CHECK(std::count(replies.begin(), replies.end(), 503) == 2);
+  CHECK(world.Submit().status == 200);
+}
+
+TEST_CASE("the messages of requests that wait are bounded") {
+  front_world world(64UL * 1024 * 1024, {100, 40UL * 1024});
+  const auto replies = world.SendAll(4);
+  CHECK(std::count(replies.begin(), replies.end(), 200) == 2);
+  CHECK(std::count(replies.begin(), replies.end(), 503) == 2);
+  CHECK(world.Submit().status == 200);
+}
+
 TEST_CASE("a job that arrives twice is one job") {
   front_world world;
   CHECK(world.Submit().status == 200);
--- a/tests/process/accepted_work_test.py
+++ b/tests/process/accepted_work_test.py
@@ -13,6 +13,7 @@
 import pathlib
 import sys
 import threading
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
@@ -33,6 +34,7 @@
 
 MANY_TASKS = job([step(count=1000)])
 MANY_STEPS = job([step(image="i" * 200) for _ in range(120)])
+UNLIMITED_STEPS = job([{"count": 1} for _ in range(1000)])
 
 
 class System(base.System):
@@ -191,7 +193,18 @@
     base.check(system, [], base.job_is_taken(system))
 
 
-CASES = [jobs_of_many_tasks, jobs_of_many_steps, jobs_through_another_gateway, rounds_of_cancelled_jobs]
+def submissions_that_wait_for_the_store(system):
+    """Each one held its decoded steps, 20 times the length of its body, until the store answered."""
+    with system.store.state.changed:  # the store answers nothing meanwhile
+        clients = [base.Client(system.ports["caller"], [(base.request("POST", f"/jobs/{n:016x}", UNLIMITED_STEPS), 1)])
+                   for n in range(300)]
+        base.play(system, clients)
+        time.sleep(1)  # for the handlers to reach the store; no check depends on it
+    base.check(system, clients, base.job_is_taken(system))
+
+
+CASES = [jobs_of_many_tasks, jobs_of_many_steps, jobs_through_another_gateway, rounds_of_cancelled_jobs,
+         submissions_that_wait_for_the_store]
 
 
 def main():
