Refuse a job that no VM is large enough for

What callers saw: a job with a task of more memory than any VM has was answered 200, stayed queued for ever, and kept its memory in the coordinator. 30 callers with nothing but such jobs were enough to fill a gateway.

Cause: nobody compared the demand of a task with the sizes of the VMs before the job was stored; placing only finds no room, again with each pass.

Evidence: jobs_that_no_vm_can_run of accepted_work_test.py on: no such job was refused in 60 s, beside a worker of 16 cores and 64,000 MiB.

Fix: a coordinator that has heard VMs for 10 s tells gateways, with the room for jobs, the most of each resource that any VM of the service has reported. A job with a larger task gets 503 no_vm_large_enough, which names both amounts, and Retry-After 60. The store is read first, so that a job that was accepted earlier is not refused.

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -60,6 +60,9 @@
   // this old may be unknown. A start follows its decision by kStartValidity at
   // most, so an evacuation holds within 4.5 s.
   millis max_information_age{2'500};
+  // Time after the first report within which all VMs are heard that can be
+  // reached: several report intervals and reconnects.
+  millis vms_heard_after{10'000};
   // How long the state of an ended job is kept for queries.
   millis ended_job_retention{150'000};
   placement_options placement;
@@ -211,6 +214,11 @@
   // best-effort tasks are placed beside them.
   double mean_latency_limit() const;
   size_t vm_count() const;
+  // Returns in each resource the most that a VM of the service has reported to
+  // this leader; null before a VM has, and until `vms_heard_after` has passed
+  // since the first report.
+  std::optional<resources> LargestVm(const std::string& service,
+                                     boot_time now) const;
   const coordinator_counters& counters() const;
 
  private:
--- a/include/chiveglade/workflow/job_admission.h
+++ b/include/chiveglade/workflow/job_admission.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "chiveglade/core/clock.h"
+#include "chiveglade/core/resources.h"
 #include "chiveglade/core/result.h"
 #include "chiveglade/workflow/job.h"
 
@@ -19,7 +20,10 @@
 // Returns the memory, in bytes, that a coordinator holds for a job of which
 // nothing runs.
 uint64_t JobBytes(const job_spec& job);
-// The same for a run that has not ended, and for a job that has.
+// Returns in each resource the most that a task of the job reserves.
+resources LargestTask(const job_spec& job);
+// What a coordinator holds for a run that has not ended, and for a job that has
+// ended, in bytes.
 constexpr uint64_t kRunBytes = 1'024;
 constexpr uint64_t kEndedJobBytes = 256;
 
@@ -30,6 +34,9 @@
   uint64_t held_for_queue = 0;  // for the jobs of one queue
   uint32_t gateways = 0;        // that accept jobs
   millis age{0};  // jobs stored longer ago are counted in what is held
+  // In each resource the most that a VM for the queue's jobs has; null while
+  // not all VMs may have been heard.
+  std::optional<resources> largest_vm = {};
 
   friend bool operator==(const job_room&, const job_room&) = default;
 };
@@ -70,6 +77,12 @@
                const job_room& room,
                boot_time asked_at);
 
+  // Returns why no VM can run a task of the queue with this demand, by what is
+  // known of the VMs; null if one may.
+  std::optional<std::string> WhyNeverRuns(const std::string& queue,
+                                          const resources& largest_task,
+                                          boot_time now) const;
+
   // Returns true, and counts the job, if it may be stored now. Call Finish once
   // its write has ended.
   bool Admit(const std::string& queue, uint64_t bytes);
@@ -79,6 +92,10 @@
   struct known_room {
     std::optional<job_room> room;
     boot_time asked_at{};
+    // The last that was known, and when. A new coordinator hears all VMs only
+    // after a while.
+    std::optional<resources> largest_vm;
+    boot_time largest_known_at{};
   };
   struct stored_job {
     boot_time at{};
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -577,10 +577,18 @@
   if (accepting_gateways_.size() < kMaxGateways) {
     accepting_gateways_[asked.gateway] = now;
   }
-  return {options_.job_budget_bytes, coordinator_->held_bytes(),
-          coordinator_->held_bytes(asked.queue),
-          static_cast<uint32_t>(accepting_gateways_.size()),
-          std::chrono::duration_cast<millis>(now - jobs_as_of_)};
+  workflow::job_room out;
+  out.budget = options_.job_budget_bytes;
+  out.held = coordinator_->held_bytes();
+  out.held_for_queue = coordinator_->held_bytes(asked.queue);
+  out.gateways = static_cast<uint32_t>(accepting_gateways_.size());
+  out.age = std::chrono::duration_cast<millis>(now - jobs_as_of_);
+  const auto& catalogue = hooks_.operators().state->catalogue;
+  if (const auto* queue =
+          catalogue ? workflow::FindQueue(*catalogue, asked.queue) : nullptr) {
+    out.largest_vm = coordinator_->LargestVm(queue->service, now);
+  }
+  return out;
 }
 
 void coordinator_host::SchedulePump(millis delay) {
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -43,6 +43,8 @@
 // A count of pending jobs may be this old.
 constexpr millis kPendingAge{1'500};
 constexpr char kRetryAfterSeconds[] = "1";
+// Of a job that needs a VM of another size, which takes longer to join.
+constexpr char kRetryWithLargerVmSeconds[] = "60";
 // Between gateways: the version of the catalogue that a request must be
 // answered by at least, and the one that it was answered by.
 constexpr char kVersionHeader[] = "chiveglade-catalogue";
@@ -62,10 +64,11 @@
 
 net::http_reply Refuse(int status,
                        const std::string& code,
-                       const std::string& detail) {
+                       const std::string& detail,
+                       const char* retry_after_seconds = kRetryAfterSeconds) {
   auto out = net::MakeRefusal(status, verdict::kNotRun, code, detail);
   if (status == 503 || status == 429) {
-    out.headers.emplace_back("retry-after", kRetryAfterSeconds);
+    out.headers.emplace_back("retry-after", retry_after_seconds);
   }
   return out;
 }
@@ -304,7 +307,8 @@
   accepted.accepted_unix_ms = hooks_.unix_ms();
   accepted.job = *std::move(job);
   return encoded_job{workflow::EncodeSubmission(accepted),
-                     workflow::JobBytes(accepted.job)};
+                     workflow::JobBytes(accepted.job),
+                     workflow::LargestTask(accepted.job)};
 }
 
 net::http_reply job_front::Submit(const call& in,
@@ -332,11 +336,18 @@
   if (!waiting.granted()) {
     return RefuseToWait();
   }
-  if (!HasRoom(in, job->bytes, yield)) {
+  const auto& queue = in.queue.name;
+  AskForRoom(queue, yield);
+  if (auto why =
+          admission_.WhyNeverRuns(queue, job->largest_task, hooks_.clock())) {
+    return RefuseUnlessStored(in, {"no_vm_large_enough", *std::move(why)},
+                              kRetryWithLargerVmSeconds, yield);
+  }
+  if (!admission_.Admit(queue, job->bytes)) {
     return RefuseUnlessStored(
         in,
         {"too_many_jobs", "the jobs that were accepted leave no room for it"},
-        yield);
+        kRetryAfterSeconds, yield);
   }
   bool may_be_stored = false;
   auto out = Store(in, std::move(job->row), may_be_stored, yield);
@@ -396,36 +407,37 @@
 
 net::http_reply job_front::RefuseJob(const call& in,
                                      int status,
-                                     const reason& why) {
+                                     const reason& why,
+                                     const char* retry_after_seconds) {
   hooks_.log(
       "job_refused",
       {{"job", in.id}, {"queue", in.queue.name}, {"reason", why.detail}});
-  return Refuse(status, why.code, why.detail);
+  return Refuse(status, why.code, why.detail, retry_after_seconds);
 }
 
-bool job_front::HasRoom(const call& in,
-                        uint64_t bytes,
-                        const net::yield& yield) {
-  const auto& queue = in.queue.name;
+void job_front::AskForRoom(const std::string& queue, const net::yield& yield) {
   const workflow::room_question question{hooks_.gateway, queue};
   const auto now = hooks_.clock();
   if (host_.ready()) {
     admission_.SetRoom(queue, host_.JobRoom(question), now);
-  } else if (host_.leader().epoch > 0 && admission_.TakeQuestion(queue, now)) {
-    const auto reply = CallPeer(peers_, host_.leader().address, kJobRoomPath,
-                                Encode(question), kRoomTimeout, yield);
-    const auto room = reply && reply->status == 200
-                          ? workflow::DecodeJobRoom(reply->body)
-                          : result<workflow::job_room>(reason{"no_answer", ""});
-    if (room) {
-      admission_.SetRoom(queue, *room, now);
-    }
+    return;
+  }
+  if (host_.leader().epoch == 0 || !admission_.TakeQuestion(queue, now)) {
+    return;
+  }
+  const auto reply = CallPeer(peers_, host_.leader().address, kJobRoomPath,
+                              Encode(question), kRoomTimeout, yield);
+  if (!reply || reply->status != 200) {
+    return;  // The last answer still holds, less what was stored since.
+  }
+  if (const auto room = workflow::DecodeJobRoom(reply->body)) {
+    admission_.SetRoom(queue, *room, now);
   }
-  return admission_.Admit(queue, bytes);
 }
 
 net::http_reply job_front::RefuseUnlessStored(const call& in,
                                               const reason& why,
+                                              const char* retry_after_seconds,
                                               const net::yield& yield) {
   const auto stored = Read(kJobPrefix + in.id, yield);
   const auto ended = stored && !*stored
@@ -439,7 +451,7 @@
   if (*stored || *ended) {
     return Json(200, platform::EncodePhase(job_phase::kQueued));
   }
-  return RefuseJob(in, 503, why);
+  return RefuseJob(in, 503, why, retry_after_seconds);
 }
 
 net::http_reply job_front::Show(const call& in, const net::yield& yield) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -90,11 +90,15 @@
                          const std::string& body,
                          const net::yield& yield);
   // Logs and refuses a job that can never be accepted.
-  net::http_reply RefuseJob(const call& in, int status, const reason& why);
-  // The row of a job, and what a coordinator holds for it.
+  net::http_reply RefuseJob(const call& in,
+                            int status,
+                            const reason& why,
+                            const char* retry_after_seconds = "1");
+  // The row of a job, what a coordinator holds for it, and what a VM needs.
   struct encoded_job {
     std::string row;
     uint64_t bytes = 0;
+    resources largest_task;
   };
   result<encoded_job> EncodeJob(const call& in, const std::string& body) const;
   // Writes the row of a job; `may_be_stored` says whether it may be there.
@@ -102,12 +106,13 @@
                         std::string row,
                         bool& may_be_stored,
                         const net::yield& yield);
-  // Returns true, and counts the job, if the coordinator has memory for it.
-  bool HasRoom(const call& in, uint64_t bytes, const net::yield& yield);
+  // Asks the coordinator about a queue, unless it has answered lately.
+  void AskForRoom(const std::string& queue, const net::yield& yield);
   // Answers a job that is not to be stored now. It may have been stored by an
   // earlier try of the caller, and is then not refused.
   net::http_reply RefuseUnlessStored(const call& in,
                                      const reason& why,
+                                     const char* retry_after_seconds,
                                      const net::yield& yield);
   net::http_reply Show(const call& in, const net::yield& yield);
   net::http_reply Cancel(const call& in, const net::yield& yield);
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -225,7 +225,9 @@
   int64_t unix_ms = 0;     // as of the last Tick
   bool restoring = false;  // stored progress is loaded; log no job ends
   std::map<std::string, vm_state> vms;
-  std::set<std::string> vms_with_orders;  // VMs with orders to send
+  boot_time first_report_at{};                   // zero: none yet
+  std::map<std::string, resources> largest_vms;  // by service
+  std::set<std::string> vms_with_orders;         // VMs with orders to send
   // VMs whose starts wait until what is known is recent again.
   std::set<std::string> vms_with_held_starts;
   interference_model interference;
@@ -303,6 +305,7 @@
                      boot_time now);
 
   // VMs.
+  void LearnSize(const report& in, boot_time now);
   bool IsStale(const vm_state& vm, const report& in, boot_time now) const;
   void ApplyEnds(vm_state& vm, const report& in, boot_time now);
   // Counts the runs that a report lists as runs of the worker's incarnation
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -45,6 +45,30 @@
          now - vm.last_report_at < kOldIncarnationTimeout;
 }
 
+void coordinator::state::LearnSize(const report& in, boot_time now) {
+  if (first_report_at == boot_time{}) {
+    first_report_at = now;
+  }
+  if (in.service.empty() || in.capacity == resources{}) {
+    return;
+  }
+  // Never lowered: a VM that has left may come back.
+  auto& most = largest_vms[in.service];
+  most.millicores = std::max(most.millicores, in.capacity.millicores);
+  most.memory_mib = std::max(most.memory_mib, in.capacity.memory_mib);
+  most.accelerators = std::max(most.accelerators, in.capacity.accelerators);
+}
+
+std::optional<resources> coordinator::LargestVm(const std::string& service,
+                                                boot_time now) const {
+  const auto found = state_->largest_vms.find(service);
+  if (found == state_->largest_vms.end() ||
+      now - state_->first_report_at < state_->options.vms_heard_after) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
 report_reply coordinator::OnReport(const report& in,
                                    boot_time now,
                                    boot_time last_commit_sent_at) {
@@ -56,6 +80,7 @@
     out.worker_incarnation = vm.last_report.worker_incarnation;
     return out;
   }
+  state_->LearnSize(in, now);
   const bool accepted_starts = state_->AcceptsStarts(vm, now);
   const bool is_new_runner =
       !vm.has_reported ||
--- a/src/workflow/job_admission.cc
+++ b/src/workflow/job_admission.cc
@@ -25,6 +25,10 @@
 // answer, so not with each job.
 constexpr millis kRoomAge{500};
 
+// A VM of another size may have joined since an older answer. Longer than a
+// new coordinator takes to hear all VMs.
+constexpr millis kVmsValid{30'000};
+
 uint64_t Left(uint64_t of, uint64_t used) {
   return of > used ? of - used : 0;
 }
@@ -44,6 +48,18 @@
   return out;
 }
 
+resources LargestTask(const job_spec& job) {
+  resources out;
+  for (const auto& step : job.steps) {
+    out.memory_mib = std::max(out.memory_mib, step.demand.memory_mib);
+    out.accelerators = std::max(out.accelerators, step.demand.accelerators);
+    // Best-effort tasks reserve no processors.
+    out.millicores =
+        std::max(out.millicores, step.best_effort ? 0 : step.demand.millicores);
+  }
+  return out;
+}
+
 std::string Encode(const room_question& in) {
   return state::WriteCbor(state::Row(in.gateway, in.queue));
 }
@@ -64,8 +80,10 @@
 }
 
 std::string Encode(const job_room& in) {
-  return state::WriteCbor(state::Row(in.budget, in.held, in.held_for_queue,
-                                     in.gateways, in.age.count()));
+  auto out = state::Row(in.budget, in.held, in.held_for_queue, in.gateways,
+                        in.age.count(), in.largest_vm.has_value());
+  out.push_back(state::ToCbor(in.largest_vm.value_or(resources{})));
+  return state::WriteCbor(out);
 }
 
 result<job_room> DecodeJobRoom(std::string_view bytes) {
@@ -80,6 +98,11 @@
   out.held_for_queue = in.Int<uint64_t>();
   out.gateways = in.Int<uint32_t>();
   out.age = in.Millis();
+  const bool knows_vms = in.Bool();
+  const auto largest = in.Resources();
+  if (knows_vms) {
+    out.largest_vm = largest;
+  }
   if (!in.Finished()) {
     return reason{"corrupt", "the room for jobs has the wrong fields"};
   }
@@ -98,13 +121,47 @@
 void job_admission::SetRoom(const std::string& queue,
                             const job_room& room,
                             boot_time asked_at) {
-  rooms_[queue].room = room;
+  auto& known = rooms_[queue];
+  known.room = room;
+  if (room.largest_vm) {
+    known.largest_vm = room.largest_vm;
+    known.largest_known_at = asked_at;
+  }
   while (!stored_.empty() && stored_.front().at < asked_at - room.age) {
     stored_bytes_ -= stored_.front().bytes;
     stored_.pop_front();
   }
 }
 
+std::optional<std::string> job_admission::WhyNeverRuns(
+    const std::string& queue,
+    const resources& largest_task,
+    boot_time now) const {
+  const auto known = rooms_.find(queue);
+  if (known == rooms_.end() || !known->second.largest_vm ||
+      now - known->second.largest_known_at > kVmsValid) {
+    return std::nullopt;
+  }
+  const auto& most = *known->second.largest_vm;
+  const auto explain = [](int64_t wanted, int64_t known_most,
+                          const char* unit) {
+    return "a task asks for " + std::to_string(wanted) + " " + unit +
+           ", and no VM of the service has more than " +
+           std::to_string(known_most);
+  };
+  if (largest_task.memory_mib > most.memory_mib) {
+    return explain(largest_task.memory_mib, most.memory_mib, "MiB");
+  }
+  if (largest_task.accelerators > most.accelerators) {
+    return explain(largest_task.accelerators, most.accelerators,
+                   "accelerators");
+  }
+  if (largest_task.millicores > most.millicores) {
+    return explain(largest_task.millicores, most.millicores, "millicores");
+  }
+  return std::nullopt;
+}
+
 bool job_admission::Admit(const std::string& queue, uint64_t bytes) {
   job_room room{initial_budget_, 0, 0, kAssumedGateways};
   if (const auto known = rooms_.find(queue);
--- a/tests/process/accepted_work_test.py
+++ b/tests/process/accepted_work_test.py
@@ -9,11 +9,13 @@
 import argparse
 import collections
 import http.client
+import itertools
 import json
 import pathlib
 import sys
 import threading
 import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
@@ -35,14 +37,64 @@
 MANY_TASKS = job([step(count=1000)])
 MANY_STEPS = job([step(image="i" * 200) for _ in range(120)])
 UNLIMITED_STEPS = job([{"count": 1} for _ in range(1000)])
+TOO_LARGE_FOR_VMS = job([step(count=1000, mem_mb=1_000_000_000)])
+
+
+class Worker(ThreadingHTTPServer):
+    """A worker of 16 cores that runs everything it is told to start until it is stopped."""
+
+    daemon_threads = True
+
+    def __init__(self, port):
+        self.lock = threading.Lock()
+        self.running = {}  # task -> run
+        self.most_running = 0
+        self.ended = []
+        super().__init__(("127.0.0.1", port), WorkerHandler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """A runner that is stopped leaves calls behind; the cases judge what matters."""
+
+    def call(self, path, body):
+        out = {"clock_ms": int(time.monotonic() * 1000), "born": 1}
+        with self.lock:
+            if path == "/run-start":
+                self.running[body["task"]] = body["run"]
+                self.most_running = max(self.most_running, len(self.running))
+            elif path == "/run-stop" and self.running.pop(body["task"], None):
+                self.ended.append([len(self.ended) + 1, body["task"], body["run"], "stopped", ""])
+            elif path == "/hold":
+                out["running"] = [[task, run, "", 0, 0] for task, run in self.running.items()]
+                out["ended"] = [end for end in self.ended if end[0] > body.get("ack_cursor", 0)][:500]
+        return out
+
+
+class WorkerHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers.get("content-length", 0))) or b"{}")
+        data = json.dumps(self.server.call(self.path, body)).encode()
+        self.send_response(200)
+        self.send_header("content-type", "application/json")
+        self.send_header("content-length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
 
 
 class System(base.System):
-    """Optionally with a second gateway."""
+    """Optionally with a second gateway, and with a worker beside the runner."""
 
     def __init__(self, program, known, directory):
         super().__init__(program, known, directory)
         self.program, self.known, self.directory = program, known, directory
+        self.worker = None
+        self.stopped = threading.Event()
 
     def add_gateway(self):
         names = ["caller", "ready", "peer", "metrics"]
@@ -56,10 +108,27 @@
         base.wait_for(lambda: base.answer(at["ready"], "GET", "/") == 200, "the second gateway to be ready")
         return gateway, at
 
+    def add_worker(self):
+        self.worker = Worker(self.ports["worker"])
+
+        def beat():
+            while not self.stopped.wait(0.5):
+                base.answer(self.ports["beat"], "PUT", base.HEARTBEAT_PATH, base.heartbeat())
+
+        threading.Thread(target=beat, daemon=True).start()
+        wait_until_runs(self, self.ports["caller"], "00000000000000fe")
+
     def coordinator_is(self, port, name):
         status = ask(port, "GET", "/status")
         return status.status == 200 and json.loads(status.body)["coordinator"] == name
 
+    def stop(self):
+        self.stopped.set()
+        if self.worker:
+            self.worker.shutdown()
+            self.worker.server_close()
+        super().stop()
+
 
 Answer = collections.namedtuple("Answer", "status fields body")
 
@@ -150,6 +219,14 @@
                               f"the answer {expected} for {name}")
 
 
+def wait_until_runs(system, port, name):
+    """A small job is accepted, starts, and is cancelled."""
+    base.wait_for(lambda: ask(port, "POST", f"/jobs/{name}", base.JOB).status == 200, "a small job to be accepted")
+    base.wait_for(lambda: json.loads(ask(port, "GET", f"/jobs/{name}").body).get("state") == "running"
+                  and any(task.startswith(name) for task in list(system.worker.running)), "a small job to run")
+    base.wait_for(lambda: ask(port, "DELETE", f"/jobs/{name}").status == 200, "a small job to be cancelled")
+
+
 def finish(system, crowd):
     crowd.check()
     base.check(system, [], base.job_is_taken(system))
@@ -203,8 +280,22 @@
     base.check(system, clients, base.job_is_taken(system))
 
 
+def jobs_that_no_vm_can_run(system):
+    """A task that needs more than any VM has waited for ever, and its job stayed in memory."""
+    system.add_worker()
+    crowd = Crowd(system.ports["caller"])
+    # The coordinator must have heard of the VM for some time before it can tell.
+    numbers = itertools.count(0xfff000)
+    base.wait_for(lambda: b"no VM" in ask(system.ports["caller"], "POST", f"/jobs/{next(numbers):016x}",
+                                          job([step(mem_mb=1_000_000_000)])).body, "a refusal that names the VMs")
+    crowd.submit(TOO_LARGE_FOR_VMS, 60)
+    assert not crowd.accepted, f"{len(crowd.accepted)} jobs were accepted that no VM can run"
+    finish(system, crowd)
+    wait_until_runs(system, system.ports["caller"], "00000000000000fc")
+
+
 CASES = [jobs_of_many_tasks, jobs_of_many_steps, jobs_through_another_gateway, rounds_of_cancelled_jobs,
-         submissions_that_wait_for_the_store]
+         submissions_that_wait_for_the_store, jobs_that_no_vm_can_run]
 
 
 def main():
--- a/tests/workflow/job_admission_test.cc
+++ b/tests/workflow/job_admission_test.cc
@@ -138,16 +138,71 @@
   }
 }
 
+TEST_CASE("a task that no VM has room for is told apart from any other") {
+  job_admission gateway(kBudget);
+  const boot_time now(kSecond);
+  job_room room{kBudget, 0, 0, 1, millis(0)};
+  gateway.SetRoom("queue", room, now);
+  const resources huge{1'000, 1'000'000, 0};
+  CHECK_FALSE(gateway.WhyNeverRuns("queue", huge, now));
+  room.largest_vm = kVmSize;
+  gateway.SetRoom("queue", room, now);
+  const auto why = gateway.WhyNeverRuns("queue", huge, now);
+  REQUIRE(why);
+  CHECK(why->find("1000000 MiB") != std::string::npos);
+  CHECK(why->find("more than 64000") != std::string::npos);
+  CHECK(gateway.WhyNeverRuns("queue", {16'001, 1, 0}, now));
+  CHECK(gateway.WhyNeverRuns("queue", {1, 1, 1}, now));
+  CHECK_FALSE(gateway.WhyNeverRuns("queue", kVmSize, now));
+  CHECK_FALSE(gateway.WhyNeverRuns("other", huge, now));
+  // A new coordinator has not heard all VMs yet.
+  room.largest_vm.reset();
+  gateway.SetRoom("queue", room, now + 12 * kSecond);
+  CHECK(gateway.WhyNeverRuns("queue", huge, now + 12 * kSecond));
+  // A VM of another size may have joined since.
+  CHECK_FALSE(gateway.WhyNeverRuns("queue", huge, now + 31 * kSecond));
+}
+
+TEST_CASE("a best-effort task needs no processors to itself") {
+  auto step = MakeStep(1, 100'000);
+  job_spec job;
+  job.steps = {step};
+  CHECK(LargestTask(job).millicores == 100'000);
+  job.steps[0].best_effort = true;
+  CHECK(LargestTask(job).millicores == 0);
+  CHECK(LargestTask(job).memory_mib == step.demand.memory_mib);
+}
+
+TEST_CASE("a new coordinator knows the largest VM once all were heard") {
+  coordinator_fixture world;
+  CHECK_FALSE(world.core->LargestVm(kService, world.now));
+  world.Report(world.MakeReport("vm0"));
+  CHECK_FALSE(world.core->LargestVm(kService, world.now));
+  world.now += millis(5'000);
+  auto larger = world.MakeReport("vm1");
+  larger.capacity = {8'000, 128'000, 2};
+  world.Report(larger);
+  world.now += millis(5'000);
+  const auto largest = world.core->LargestVm(kService, world.now);
+  REQUIRE(largest);
+  CHECK(*largest == resources{16'000, 128'000, 2});
+  CHECK_FALSE(world.core->LargestVm("other", world.now));
+}
+
 TEST_CASE("the room for jobs survives encoding") {
   const room_question question{"gateway", "queue"};
   const auto asked = DecodeRoomQuestion(Encode(question));
   REQUIRE(asked);
   CHECK(*asked == question);
   CHECK_FALSE(DecodeRoomQuestion("x"));
-  const job_room room{kBudget, 5, 3, 2, kSecond};
+  job_room room{kBudget, 5, 3, 2, kSecond};
   const auto decoded = DecodeJobRoom(Encode(room));
   REQUIRE(decoded);
   CHECK(*decoded == room);
+  room.largest_vm = kVmSize;
+  const auto with_vms = DecodeJobRoom(Encode(room));
+  REQUIRE(with_vms);
+  CHECK(*with_vms == room);
   CHECK_FALSE(DecodeJobRoom("x"));
 }
 
