Limit the runs on one VM

What callers saw: a job of 1,000 tasks that ask for no processor and no memory started whole on one VM, beside any number of others. The worker, its runner and the reports grew with each, and a report beyond 1 MiB is rejected, which loses the VM.

Cause: a VM takes tasks while their demands fit, and a demand of nothing always does.

The new case of coordinator_test starts 2,000 runs on one VM without the limit.

Fix: a VM with 1,000 runs takes no more.

--- a/include/chiveglade/workflow/placement.h
+++ b/include/chiveglade/workflow/placement.h
@@ -19,6 +19,11 @@
 
 namespace chiveglade::workflow {
 
+// Most runs on one VM. Far more than tasks with a demand that fit on one;
+// bounds what tasks without demand make a worker, its runner and their messages
+// hold.
+constexpr uint32_t kMaxRunsPerVm = 1'000;
+
 // Load of a VM that is a candidate for a task.
 struct vm_load {
   std::string rack;
@@ -52,6 +57,7 @@
   void AddRecentBestEffort(const std::string& image,
                            double cores,
                            const interference_model& model);
+  uint32_t runs = 0;  // that have not ended
   // Live runs of the step being placed; maintained only if it has `max_per_vm`.
   uint32_t same_step = 0;
   bool suspect = false;  // see worker_health
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -330,6 +330,7 @@
   out.labels = vm.last_report.labels;
   out.capacity = vm.last_report.capacity;
   out.reserved = vm.reserved;
+  out.runs = static_cast<uint32_t>(vm.runs.size());
   out.best_effort_millicores = vm.best_effort_millicores;
   out.serving_millicores = vm.serving_millicores;
   for (const auto& [run, hosted] : vm.runs) {
@@ -453,6 +454,7 @@
       }
       left[*best].reserved += taken;
       ++left[*best].same_step;
+      ++left[*best].runs;
     }
     if (chosen.size() < tasks.size()) {
       placed_by_rack[*rack] = chosen.size();
--- a/src/workflow/placement.cc
+++ b/src/workflow/placement.cc
@@ -15,6 +15,9 @@
 constexpr double kMaxTolerableRatioIncrease = 0.06;
 
 bool IsAllowed(const vm_load& vm, const step_spec& step) {
+  if (vm.runs >= kMaxRunsPerVm) {
+    return false;
+  }
   if (step.max_per_vm > 0 && vm.same_step >= step.max_per_vm) {
     return false;
   }
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -334,6 +334,28 @@
   CHECK(world.Starts().size() == 1);
 }
 
+TEST_CASE("tasks without demand do not start in any number on one VM") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  auto step = MakeStep(kMaxTasksPerJob);
+  step.demand = {};
+  world.AddJob(kJob, MakeSubmission({step}));
+  world.AddJob("00000000000000bb", MakeSubmission({step}));
+  size_t started = 0;
+  for (int i = 0; i < 100; ++i) {
+    started += world.Starts().size();
+  }
+  CHECK(started == kMaxRunsPerVm);
+  step.gang = true;
+  world.ReportRunning("vm2", {});
+  world.AddJob("00000000000000cc", MakeSubmission({step}));
+  world.AddJob("00000000000000dd", MakeSubmission({step}));
+  for (int i = 0; i < 100; ++i) {
+    started += world.Starts().size();
+  }
+  CHECK(started == 2 * kMaxRunsPerVm);
+}
+
 TEST_CASE("no task starts on draining, silent or out-of-service VMs") {
   coordinator_fixture world;
   world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
