Limit a runner's calls to its worker that wait for a reply

What callers saw: when many short tasks were ordered at once, a runner opened a connection for each start. Its machine limits descriptors; beyond that no heartbeat and no call to the store gets one.

Cause: all starts, stops and throttles that are due were sent at once, each on a connection of its own.

Fix: at most 64 calls of each kind are without a reply; the others are sent as replies come. An order that expires meanwhile is dropped as before.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -37,6 +37,9 @@
   // are refused then. Covers two missed heartbeats.
   millis heartbeat_timeout{3'500};
   pacer_options pacing;
+  // Most start calls, stop calls and throttle calls each without a reply. Each
+  // has a connection of its own.
+  uint32_t max_calls = 64;
   // A worker that has refused connections for this long gets no new runs, and
   // is declared gone once its lease is over. Covers a restart of its listener.
   millis connect_refused_timeout{250};
@@ -73,8 +76,9 @@
   bool OnCoordinator(uint64_t epoch, const std::string& address);
   void OnOrders(const orders& in, boot_time now);
 
-  // Return the calls that are due. The caller must report the outcome of each
-  // by the matching On...Reply().
+  // Return the calls that are due, as long as no more than max_calls of a kind
+  // are without a reply. The caller must report the outcome of each by the
+  // matching On...Reply().
   std::vector<start_call> TakeStarts(boot_time now);
   std::vector<stop_call> TakeStops(boot_time now);
   std::vector<pace_call> TakePaces(boot_time now);
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -260,6 +260,9 @@
     return out;
   }
   for (auto& [run, item] : runs_) {
+    if (starts_in_flight_ >= options_.max_calls) {
+      break;
+    }
     if (item.phase != run_phase::kStarting || item.call_in_flight ||
         now < item.next_attempt_at) {
       continue;
@@ -290,11 +293,19 @@
     return out;
   }
   StopRunsBeyondGrant(now);
+  auto open = std::count_if(runs_.begin(), runs_.end(), [](const auto& each) {
+    return each.second.phase == run_phase::kStopping &&
+           each.second.call_in_flight;
+  });
   for (auto& [run, item] : runs_) {
+    if (open >= options_.max_calls) {
+      break;
+    }
     if (item.phase == run_phase::kStopping && !item.call_in_flight &&
         !item.stop_confirmed && now >= item.next_attempt_at) {
       item.call_in_flight = true;
       item.stop_incarnation = incarnation_;
+      ++open;
       // Before the first heartbeat the instance is not known and not named: a
       // stop concerns this run only, on whichever incarnation.
       out.push_back({heartbeat_.instance, run, epoch_});
@@ -631,7 +642,13 @@
   if (!has_heartbeat_ || worker_gone_) {
     return out;
   }
+  auto open = std::count_if(runs_.begin(), runs_.end(), [](const auto& each) {
+    return each.second.pace_in_flight;
+  });
   for (auto& [run, item] : runs_) {
+    if (open >= options_.max_calls) {
+      break;
+    }
     if (item.phase != run_phase::kRunning || !item.order.best_effort ||
         item.pace_in_flight) {
       continue;
@@ -647,6 +664,7 @@
     }
     item.requested_percent = percent;
     item.pace_in_flight = true;
+    ++open;
     item.pace_unconfirmed = true;
     if (now >= item.late_paces_until) {
       item.late_paces_until = {};
--- a/tests/process/accepted_work_test.py
+++ b/tests/process/accepted_work_test.py
@@ -38,6 +38,7 @@
 MANY_STEPS = job([step(image="i" * 200) for _ in range(120)])
 UNLIMITED_STEPS = job([{"count": 1} for _ in range(1000)])
 TOO_LARGE_FOR_VMS = job([step(count=1000, mem_mb=1_000_000_000)])
+NO_DEMAND = job([{"count": 1000, "image": "app"}])
 
 
 class Worker(ThreadingHTTPServer):
@@ -294,8 +295,23 @@
     wait_until_runs(system, system.ports["caller"], "00000000000000fc")
 
 
+def tasks_without_demand(system):
+    """Any number of tasks that ask for nothing fitted on one VM, until its runner's report was too long to send."""
+    system.add_worker()
+    crowd = Crowd(system.ports["caller"])
+    crowd.submit(NO_DEMAND, 2)
+    finish(system, crowd)
+    crowd.cancel()
+    wait_until_runs(system, system.ports["caller"], "00000000000000fc")
+    print(f"  at most {system.worker.most_running} tasks on one VM", flush=True)
+    assert system.worker.most_running <= MAX_RUNS_PER_VM, f"{system.worker.most_running} tasks ran on one VM"
+
+
+# Of the workflow module's kMaxRunsPerVm; a report of so many runs fits into one message.
+MAX_RUNS_PER_VM = 1000
+
 CASES = [jobs_of_many_tasks, jobs_of_many_steps, jobs_through_another_gateway, rounds_of_cancelled_jobs,
-         submissions_that_wait_for_the_store, jobs_that_no_vm_can_run]
+         submissions_that_wait_for_the_store, jobs_that_no_vm_can_run, tasks_without_demand]
 
 
 def main():
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -152,6 +152,39 @@
 
 }  // namespace
 
+TEST_CASE("calls without a reply are bounded, whatever was ordered") {
+  const auto most = supervisor_options{}.max_calls;
+  fixture world;
+  std::vector<start_order> starts;
+  std::vector<run_key> runs;
+  for (uint32_t i = 0; i < 2 * most; ++i) {
+    starts.push_back(fixture::Start(i));
+    starts.back().best_effort = true;
+    runs.push_back(fixture::Run(i));
+  }
+  world.Order(starts);
+  const auto first = world.core->TakeStarts(world.now);
+  CHECK(first.size() == most);
+  CHECK(world.core->TakeStarts(world.now).empty());
+  for (const auto& call : first) {
+    world.core->OnStartReply(call, call_status::kOk, world.now, world.now);
+  }
+  const auto second = world.core->TakeStarts(world.now);
+  CHECK(second.size() == most);
+  for (const auto& call : second) {
+    world.core->OnStartReply(call, call_status::kOk, world.now, world.now);
+  }
+  world.Lease(runs, {});
+  world.Order({}, runs);
+  const auto stops = world.core->TakeStops(world.now);
+  CHECK(stops.size() == most);
+  CHECK(world.core->TakeStops(world.now).empty());
+  for (const auto& call : stops) {
+    world.core->OnStopReply(call.run, call_status::kOk, world.now);
+  }
+  CHECK(world.core->TakeStops(world.now).size() == most);
+}
+
 TEST_CASE("an ordered start is called once and its run reported") {
   fixture world;
   world.Order({fixture::Start(0)});
