Answer the callers that there is no room for

What callers saw: while clients with bodies that stop short used up the budget or the connections of a gateway, ordinary requests beside them were closed without an answer. Such a caller cannot know whether its request ran.

Cause: a new connection whose 4 KiB did not fit into the budget was closed before its request was read. Above the limit of connections 16 at most were refused with an answer, and each stayed for up to a second after it. A refusal that was being sent, or had been, could be cut off to make room, and held a coroutine meanwhile.

Fix: a connection without room waits for its first bytes, is answered 503 without a coroutine, and closed. An eighth of the connections of a port is kept for those that are refused, and the oldest of these makes room for the next. A connection that has sent its refusal holds 4 KiB and is not chosen to make room.

--- a/include/chiveglade/net/http_server.h
+++ b/include/chiveglade/net/http_server.h
@@ -19,8 +19,9 @@
 struct http_server_options {
   uint32_t max_header_bytes = 16 * 1024;        // request line and fields
   uint64_t max_body_bytes = 8UL * 1024 * 1024;  // of one request
-  uint32_t max_connections = 1'024;             // open at once
-  uint32_t max_connections_per_address = 0;     // 0: not limited
+  // Open at once. An eighth is kept for connections that are being refused.
+  uint32_t max_connections = 1'024;
+  uint32_t max_connections_per_address = 0;  // 0: not limited
   // A field takes four bytes at least, so 16 KiB of header hold no more.
   uint32_t max_header_fields = 4'096;
   // Of the extensions of all chunks of one body.
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,17 +1,18 @@
 #include "src/net/http_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <exception>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 #include "src/net/beast_fields.h"
@@ -33,7 +34,6 @@
 constexpr size_t kRequestBytes = 12UL * 1024;
 constexpr millis kLingerTime{1'000};
 constexpr size_t kLingerBytes = 4UL * 1024 * 1024;
-constexpr size_t kLingerChunkBytes = 4UL * 1024;
 // A chunked body that grows beyond this gets room for the longest allowed at
 // once. Untouched pages cost nothing, while a body that grows in many steps
 // leaves holes in the heap: 1,500 of 248 KB took 165 MiB, and 135 with this.
@@ -77,6 +77,26 @@
   return out;
 }
 
+http::response<http::string_body> ToResponse(http_reply in, bool keep_alive) {
+  http::response<http::string_body> out;
+  out.version(11);
+  out.result(static_cast<unsigned>(in.status));
+  if (AreFieldsValid(in.headers)) {
+    AddFields(in.headers, out);
+  }
+  out.body() = std::move(in.body);
+  out.keep_alive(keep_alive);
+  out.prepare_payload();
+  return out;
+}
+
+// An answer after which the connection is closed, as it is sent.
+std::string ToText(http_reply in) {
+  std::ostringstream out;
+  out << ToResponse(std::move(in), false);
+  return out.str();
+}
+
 http_reply Malformed(beast::error_code error) {
   return MakeRefusal(400, verdict::kNotRun, "bad_request",
                      "malformed HTTP request: " + error.message());
@@ -140,9 +160,8 @@
   if (buffer_.capacity() > kIdleReadBytes) {
     buffer_.shrink_to_fit();
   }
-  if (!Charge(phase::kIdle, 0)) {
-    End();
-    return;
+  if (!Charge(phase::kIdle, 0) && !refuse_) {
+    refuse_ = limit_kind::kMemory;  // so that its client is told
   }
   // A connection that is refused must not hold its place for long.
   stream_.expires_after(refuse_ ? kLingerTime : options_.idle_timeout);
@@ -151,7 +170,13 @@
       [self = shared_from_this()](beast::error_code error, size_t size) {
         self->phase_ = phase::kReading;
         self->buffer_.commit(size);
-        error ? self->End() : self->SpawnRequest();
+        if (error) {
+          self->End();
+        } else if (self->refuse_) {
+          self->RefuseConnection();
+        } else {
+          self->SpawnRequest();
+        }
       });
 }
 
@@ -163,18 +188,19 @@
     asio::spawn(
         self->stream_.get_executor(),
         [self](const yield& yield) {
-          self->ServeRequest(yield) ? self->AwaitRequest() : self->End();
+          if (self->ServeRequest(yield)) {
+            self->AwaitRequest();
+          } else if (self->lingers_) {
+            self->Linger();
+          } else {
+            self->End();
+          }
         },
         asio::detached);
   });
 }
 
 bool http_connection::ServeRequest(const yield& yield) {
-  if (refuse_) {
-    Report(*refuse_);
-    Refuse(RefusalFor(*refuse_), yield);
-    return false;
-  }
   parser request;
   request.header_limit(options_.max_header_bytes);
   max_body_bytes_ = hooks_->max_body_bytes ? hooks_->max_body_bytes()
@@ -196,10 +222,13 @@
     return true;
   }
   const size_t bytes =
-      now == phase::kIdle
+      now == phase::kIdle || now == phase::kLingering
           ? kConnectionBytes
           : kConnectionBytes + kRequestBytes + buffer_.capacity() + body_bytes;
-  return account_->Set(bytes, now == phase::kHandling);
+  // A connection that lingers ends soon, and its client may not have read the
+  // refusal.
+  return account_->Set(bytes,
+                       now == phase::kHandling || now == phase::kLingering);
 }
 
 void http_connection::Report(limit_kind kind) {
@@ -340,9 +369,20 @@
 }
 
 void http_connection::Refuse(const http_reply& with, const yield& yield) {
-  if (Write(with, false, yield)) {
-    Linger(yield);
+  lingers_ = Write(with, false, yield);
+}
+
+void http_connection::RefuseConnection() {
+  if (*refuse_ != limit_kind::kMemory) {
+    Report(*refuse_);
   }
+  const auto text =
+      std::make_shared<const std::string>(ToText(RefusalFor(*refuse_)));
+  asio::async_write(
+      stream_, asio::buffer(*text),
+      [self = shared_from_this(), text](beast::error_code error, size_t) {
+        error ? self->End() : self->Linger();
+      });
 }
 
 http_reply http_connection::Handle(const http_request& request,
@@ -364,15 +404,7 @@
   // Its handler has run, so an answer without room for it is sent all the same;
   // it can be cut off later, like any that is not read.
   (void)Charge(phase::kWriting, reply.body.size());
-  http::response<http::string_body> out;
-  out.version(11);
-  out.result(static_cast<unsigned>(reply.status));
-  if (AreFieldsValid(reply.headers)) {
-    AddFields(reply.headers, out);
-  }
-  out.body() = std::move(reply.body);
-  out.keep_alive(keep_alive);
-  out.prepare_payload();
+  auto out = ToResponse(std::move(reply), keep_alive);
   beast::error_code error;
   stream_.expires_after(options_.write_timeout);
   http::async_write(stream_, out, yield[error]);
@@ -382,15 +414,26 @@
   return !error;
 }
 
-void http_connection::Linger(const yield& yield) {
-  beast::error_code error;
-  stream_.socket().shutdown(asio::socket_base::shutdown_send, error);
+void http_connection::Linger() {
+  beast::error_code ignored;
+  stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+  buffer_.clear();
+  buffer_.shrink_to_fit();
   stream_.expires_after(kLingerTime);
   (void)Charge(phase::kLingering, 0);
-  std::array<char, kLingerChunkBytes> dropped;
-  for (size_t total = 0; !error && total < kLingerBytes;) {
-    total += stream_.async_read_some(asio::buffer(dropped), yield[error]);
-  }
+  DiscardNext(0);
+}
+
+void http_connection::DiscardNext(size_t discarded) {
+  stream_.async_read_some(buffer_.prepare(kIdleReadBytes),
+                          [self = shared_from_this(), discarded](
+                              beast::error_code error, size_t size) {
+                            if (error || discarded + size >= kLingerBytes) {
+                              self->End();
+                            } else {
+                              self->DiscardNext(discarded + size);
+                            }
+                          });
 }
 
 void http_connection::Finish() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -72,8 +72,11 @@
   void RefuseAfter(parser& request,
                    boost::beast::error_code error,
                    const yield& yield);
-  // Sends a refusal and closes.
+  // Sends a refusal; the connection then lingers.
   void Refuse(const http_reply& with, const yield& yield);
+  // The same for a connection that is refused whatever it sends, without a
+  // coroutine.
+  void RefuseConnection();
   http_reply Handle(const http_request& request, const yield& yield);
   bool Write(http_reply reply, bool keep_alive, const yield& yield);
   // Charges the connection with `body_bytes` and what it holds besides.
@@ -82,9 +85,10 @@
   // Makes room for other connections. On the strand.
   void Evict();
   // Closes the sending side and reads what the peer still sends, for a short
-  // time. Closing with unread bytes would reset the connection, and the peer
-  // could lose the refusal that it has not read yet.
-  void Linger(const yield& yield);
+  // time, then ends. Closing with unread bytes would reset the connection, and
+  // the peer could lose the refusal that it has not read yet.
+  void Linger();
+  void DiscardNext(size_t discarded);
   void Close();
   void End();
 
@@ -102,6 +106,7 @@
   uint64_t reading_ = 0;
   uint64_t max_body_bytes_ = 0;      // of the request being read
   std::optional<limit_kind> limit_;  // reached by the request being read
+  bool lingers_ = false;             // a refusal was sent
   std::chrono::steady_clock::time_point progress_;
   std::chrono::steady_clock::time_point request_end_;
   boost::asio::steady_timer timer_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,7 +1,9 @@
 #include "chiveglade/net/http_server.h"
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -12,9 +14,11 @@
 
 namespace {
 
-// Connections above the limit that are kept long enough to be told so; any more
-// are closed without an answer.
-constexpr size_t kMaxRefusedConnections = 16;
+// Share of the connections that is kept for refusals: connections above the
+// limit that stay open until they have been told so. If more come, the oldest
+// are closed.
+constexpr uint32_t kRefusedShare = 8;
+constexpr uint32_t kLeastRefused = 16;
 
 class http_server_impl : public http_server,
                          public std::enable_shared_from_this<http_server_impl> {
@@ -25,6 +29,10 @@
                    http_server_hooks to)
       : listener_(std::move(from)),
         options_(options),
+        max_refused_(
+            std::max(options.max_connections / kRefusedShare, kLeastRefused)),
+        max_accepted_(options.max_connections -
+                      options.max_connections / kRefusedShare),
         hooks_(std::make_shared<const http_server_hooks>(std::move(to))),
         port_id_(hooks_->admit ? hooks_->admit->AddPort() : 0),
         handler_(std::make_shared<const http_handler>(std::move(handler))) {}
@@ -73,20 +81,29 @@
         [self = shared_from_this(), id] { self->Remove(id); });
     if (hooks_->admit) {
       refuse = connection->Admit(
-          port_id_,
-          {options_.max_connections, options_.max_connections_per_address});
+          port_id_, {max_accepted_, options_.max_connections_per_address});
     }
+    std::shared_ptr<http_connection> oldest;
     {
       const std::lock_guard lock(mutex_);
-      const size_t open = connections_.size();
-      if (!hooks_->admit && open >= options_.max_connections) {
-        refuse = limit_kind::kConnections;
-      }
-      if (stopping_ || (refuse && open >= options_.max_connections +
-                                              kMaxRefusedConnections)) {
+      if (stopping_) {
         return;
       }
+      if (!hooks_->admit &&
+          connections_.size() - refused_.size() >= max_accepted_) {
+        refuse = limit_kind::kConnections;
+      }
       connections_.emplace(id, connection);
+      if (refuse) {
+        if (refused_.size() >= max_refused_) {
+          oldest = connections_.at(*refused_.begin()).lock();
+          refused_.erase(refused_.begin());
+        }
+        refused_.emplace(id);
+      }
+    }
+    if (oldest) {
+      oldest->Abort();
     }
     connection->Start(refuse);
   }
@@ -94,6 +111,7 @@
   void Remove(uint64_t id) {
     std::unique_lock lock(mutex_);
     connections_.erase(id);
+    refused_.erase(id);
     ReportIfDrained(std::move(lock));
   }
 
@@ -118,6 +136,8 @@
 
   const std::shared_ptr<listener> listener_;
   const http_server_options options_;
+  const uint32_t max_refused_;
+  const uint32_t max_accepted_;
   const std::shared_ptr<const http_server_hooks> hooks_;
   const uint32_t port_id_;
   const std::shared_ptr<const http_handler> handler_;
@@ -126,6 +146,7 @@
   std::mutex mutex_;
   bool stopping_ = false;
   std::unordered_map<uint64_t, std::weak_ptr<http_connection>> connections_;
+  std::set<uint64_t> refused_;  // ids of those that are refused, oldest first
   std::function<void()> drained_;
 };
 
--- a/tests/process/admission_test.py
+++ b/tests/process/admission_test.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import collections
 import contextlib
 import json
 import os
@@ -16,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import traceback
 
@@ -409,6 +411,31 @@
     caller_port(system, stops_short_in_chunks(system.ports["caller"], "POST", job_path, 768 * KIB, 1, 64))
 
 
+def ordinary_requests_beside_bodies_that_stop_short(system):
+    """While the budget was used up, connections were closed before their request was read, without an answer."""
+    port = system.ports["caller"]
+    answers = collections.Counter()
+    stopped = threading.Event()
+
+    def ask_all_the_time():
+        while not stopped.is_set():
+            answers[answer(port, "POST", "/jobs/00000000000000ff", JOB)] += 1
+
+    ordinary = threading.Thread(target=ask_all_the_time)
+    ordinary.start()
+    for _ in range(3):
+        clients = stops_short_in_chunks(port, "POST", job_path, 248 * KIB, 8 * KIB, 150)
+        clients += stops_one_byte_short(port, "POST", job_path, 256 * KIB, 150)
+        play(system, clients)
+        for client in clients:
+            client.close()
+    stopped.set()
+    ordinary.join()
+    print(f"  answers: {dict(answers)}", flush=True)
+    assert not answers[None], f"{answers[None]} ordinary requests were not answered"
+    check(system, [], job_is_taken(system))
+
+
 def caller_endless_headers(system):
     """Header fields, and then a chunk extension, that never end."""
     port = system.ports["caller"]
@@ -503,7 +530,7 @@
 CASES = [
     caller_bodies_far_over_the_limit, caller_declared_bodies_stop_one_byte_short,
     caller_small_bodies_stop_one_byte_short, caller_large_chunks_stop_short, caller_one_byte_chunks_stop_short,
-    caller_endless_headers, caller_responses_never_read, metrics_responses_never_read,
+    ordinary_requests_beside_bodies_that_stop_short, caller_endless_headers, caller_responses_never_read, metrics_responses_never_read,
     metrics_and_ready_bodies_stop_short, idle_connections_on_every_port, heartbeats_stop_one_byte_short,
     heartbeats_in_chunks_stop_short, longest_heartbeat_is_served, peer_bodies_stop_short, peer_resets,
     peer_endless_headers, peer_responses_never_read,
