Limit what clients make an entry and an agent hold

What callers saw: an entry and an agent kept every body that was sent to their operators' and peers' ports, on any number of connections, and ran out of memory or descriptors.

Cause: only gateways and runners had limits of connections and bodies. An entry's operators' port took bodies of 8 MiB on 1,024 connections, its peers' port heartbeats of 4 MiB on 1,024 streams of 4,096 connections, and its callers' port 16,384 connections.

Fix: both roles have the admission settings of the gateway, one budget for all ports, and shares of the descriptors. Where bodies are passed on, the agent is charged for what is unread only, and the number of such streams is limited.

--- a/include/chiveglade/config/settings.h
+++ b/include/chiveglade/config/settings.h
@@ -24,6 +24,24 @@
 std::string ToString(const endpoint& at);
 std::optional<endpoint> ParseEndpoint(const std::string& text);
 
+// Limits of a process for clients that nobody controls.
+struct admission_settings {
+  // Of the machine; 0: asked of the system.
+  double memory_mb = 0;
+  double max_fds = 0;
+  // Lowers the share of the memory for what is being received and sent; 0: the
+  // share as it is.
+  uint32_t receive_budget_kb = 0;
+  uint32_t max_header_fields = 4'096;
+  uint32_t max_chunk_extension_bytes = 4'096;
+  uint32_t connections_per_address = 0;  // 0: not limited
+  millis receive_stall{5'000};
+  millis request_time{10'000};
+  millis send_time{10'000};
+  friend bool operator==(const admission_settings&,
+                         const admission_settings&) = default;
+};
+
 // Settings of `chiveglade entry`.
 struct entry_settings {
   std::string name;  // unique among entries that run at the same time
@@ -43,6 +61,7 @@
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
   size_t max_header_bytes = size_t{16} * 1024;
   millis shutdown_grace{30'000};
+  admission_settings admission;
   friend bool operator==(const entry_settings&,
                          const entry_settings&) = default;
 };
@@ -62,28 +81,11 @@
   millis worker_lease{
       10'000};  // the worker's own lease, renewed in small steps
   millis shutdown_grace{30'000};
+  admission_settings admission;
   friend bool operator==(const agent_settings&,
                          const agent_settings&) = default;
 };
 
-// Limits of a process for clients that nobody controls.
-struct admission_settings {
-  // Of the machine; 0: asked of the system.
-  double memory_mb = 0;
-  double max_fds = 0;
-  // Lowers the share of the memory for what is being received and sent; 0: the
-  // share as it is.
-  uint32_t receive_budget_kb = 0;
-  uint32_t max_header_fields = 4'096;
-  uint32_t max_chunk_extension_bytes = 4'096;
-  uint32_t connections_per_address = 0;  // 0: not limited
-  millis receive_stall{5'000};
-  millis request_time{10'000};
-  millis send_time{10'000};
-  friend bool operator==(const admission_settings&,
-                         const admission_settings&) = default;
-};
-
 // Settings of `chiveglade gateway`.
 struct gateway_settings {
   std::string name;  // unique among gateways that run at the same time
--- a/include/chiveglade/net/h2_server.h
+++ b/include/chiveglade/net/h2_server.h
@@ -25,6 +25,9 @@
   // the memory and descriptors that peers which never speak can take.
   uint32_t max_connections = 4'096;
   uint32_t socket_buffer_bytes = 0;  // of a server; 0: the system's default
+  // Whether handlers of a server keep what they read until their stream ends;
+  // else only what is unread is charged.
+  bool keeps_bodies = true;
   millis idle_timeout{60'000};  // without any frame; a PING is sent at half
   friend bool operator==(const h2_options&, const h2_options&) = default;
 };
--- a/include/chiveglade/routing/request_front.h
+++ b/include/chiveglade/routing/request_front.h
@@ -26,6 +26,7 @@
   config::endpoint listen;
   uint32_t max_connections = 16'384;   // concurrent, from callers
   uint32_t max_open_requests = 4'096;  // forwarded concurrently
+  uint32_t socket_buffer_bytes = 0;    // of callers' sockets; 0: the default
   size_t max_header_bytes = 16'384;
   size_t max_body_bytes = 67'108'864;
   // Largest body of a request with an Idempotency-Key. Such a body is buffered
--- a/src/app/admission_options.cc
+++ b/src/app/admission_options.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace chiveglade::app {
 
@@ -19,6 +20,9 @@
 // Share of those, and of the receive budget, for callers' requests that wait.
 // The other calls are those of the coordinator.
 constexpr uint64_t kWaitingShare = 2;
+// A request that is passed on as it arrives: a coroutine, the buffers of both
+// connections, and a window of its stream in each direction.
+constexpr uint64_t kPassingStreamBytes = 160UL * 1024;
 // Shares of the rest are given in sixteenths.
 constexpr uint64_t kSixteenths = 16;
 constexpr uint64_t kLeastConnections = 8;
@@ -103,9 +107,10 @@
                            : share;
 }
 
-admission_options::admission_options(const config::admission_settings& settings,
-                                     observe::metrics& metrics,
-                                     observe::event_log& events)
+admission_options::admission_options(
+    const config::admission_settings& settings,
+    observe::metrics& metrics,
+    std::function<void(const char*, const observe::log_fields&)> log)
     : settings_(settings),
       max_fds_(DescriptorsOf(settings)),
       metrics_(metrics),
@@ -116,12 +121,12 @@
              metrics.Increment("chiveglade_admission_refusals_total",
                                {{"kind", ToString(kind)}});
            },
-           [&events](net::limit_kind kind,
-                     uint64_t times,
-                     const std::string& address) {
-             events.Write("client_limited", {{"kind", ToString(kind)},
-                                             {"times", std::to_string(times)},
-                                             {"address", address}});
+           [log = std::move(log)](net::limit_kind kind,
+                                  uint64_t times,
+                                  const std::string& address) {
+             log("client_limited", {{"kind", ToString(kind)},
+                                    {"times", std::to_string(times)},
+                                    {"address", address}});
            }})) {
   // Bodies from this size on are mapped, so that their memory goes back when
   // they are dropped. The allocator would raise the threshold by itself after
@@ -158,6 +163,12 @@
   return base;
 }
 
+uint32_t admission_options::PassingStreams() const {
+  return static_cast<uint32_t>(
+      std::max(admit_->budget_bytes() / kPassingStreamBytes,
+               uint64_t{kLeastConnections}));
+}
+
 request_limits admission_options::Waiting() const {
   const uint64_t calls = UsableDescriptors(max_fds_) / kCallShare;
   return {std::max(calls / kWaitingShare, kLeastConnections),
--- a/src/app/admission_options.h
+++ b/src/app/admission_options.h
@@ -3,6 +3,7 @@
 #define CHIVEGLADE_SRC_APP_ADMISSION_OPTIONS_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "chiveglade/config/settings.h"
@@ -41,18 +42,23 @@
 uint64_t JobBudget(const config::admission_settings& in,
                    uint32_t lowered_to_kb);
 
-// The limits of one process. Refers to `metrics` and `events`.
+// The limits of one process. Refers to `metrics`. `log` is called on the
+// threads of the servers.
 class admission_options {
  public:
-  admission_options(const config::admission_settings& settings,
-                    observe::metrics& metrics,
-                    observe::event_log& events);
+  admission_options(
+      const config::admission_settings& settings,
+      observe::metrics& metrics,
+      std::function<void(const char*, const observe::log_fields&)> log);
 
   // Options of an HTTP/1.1 port with bodies of at most `max_body_bytes`.
   net::http_server_options Http(port_use of, uint64_t max_body_bytes) const;
   // `base` with the limits of the peer port.
   net::h2_options Peers(net::h2_options base) const;
 
+  // Streams that pass a request on without keeping its body, over all
+  // connections.
+  uint32_t PassingStreams() const;
   // Of callers' requests that wait for the store or a peer.
   request_limits Waiting() const;
 
--- a/src/app/agent_role.cc
+++ b/src/app/agent_role.cc
@@ -1,5 +1,6 @@
 #include "agent_role.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -7,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include "admission_options.h"
 #include "chiveglade/agent/announcer.h"
 #include "chiveglade/agent/h2_heartbeat_sender.h"
 #include "chiveglade/net/http_server.h"
@@ -28,11 +30,17 @@
 constexpr millis kHeartbeatTimeout{1'500};
 // One thread keeps the agent within 2.5% of a core and its memory small.
 constexpr uint32_t kThreads = 1;
+// The pages take no body.
+constexpr uint64_t kMaxStatusBodyBytes = 1'024;
 
 net::http_reply JsonReply(int status, const json& body) {
   return {status, {{"content-type", "application/json"}}, body.dump()};
 }
 
+void LogEvent(const char* event, const observe::log_fields& fields) {
+  observe::LogInfo(event, fields);
+}
+
 }  // namespace
 
 // Members are destroyed in reverse order, the event loop last.
@@ -41,6 +49,7 @@
   strand control = net::asio::make_strand(loop);
   config::agent_settings settings;
   observe::metrics metrics;
+  std::unique_ptr<admission_options> limits;
   peer_pool peers{loop};
   std::unique_ptr<agent::worker_client> worker;
   std::unique_ptr<agent::h2_heartbeat_sender> sender;
@@ -180,8 +189,11 @@
 }
 
 result<done> agent_role::parts::Listen() {
+  auto options = limits->Peers({});
+  options.keeps_bodies = false;
+  options.max_streams = std::min(options.max_streams, limits->PassingStreams());
   auto peer_server = net::h2_server::Make(
-      loop, settings.peer_listen.ip, settings.peer_listen.port, {},
+      loop, settings.peer_listen.ip, settings.peer_listen.port, options,
       [this](const net::h2_stream_ptr& stream, const net::yield& yield) {
         if (net::FindHeader(stream->request_headers(), ":path") ==
                 kManifestPath &&
@@ -191,16 +203,19 @@
         } else {
           proxy->Handle(stream, yield);
         }
-      });
+      },
+      limits->admit());
   if (!peer_server) {
     return peer_server.last_reason();
   }
   entries = *std::move(peer_server);
   auto status_server = net::http_server::Make(
-      loop, settings.status_listen.ip, settings.status_listen.port, {},
+      loop, settings.status_listen.ip, settings.status_listen.port,
+      limits->Http(port_use::kOperators, kMaxStatusBodyBytes),
       [this](const net::http_request& request, const net::yield&) {
         return Answer(request);
-      });
+      },
+      {limits->admit(), nullptr});
   if (!status_server) {
     return status_server.last_reason();
   }
@@ -259,6 +274,7 @@
 }
 
 void agent_role::parts::UpdateGauges() {
+  limits->UpdateGauges();
   const auto view = announcer->view();
   metrics.Set("chiveglade_manifest_version", {},
               static_cast<double>(Manifest().version));
@@ -314,6 +330,8 @@
     const config::agent_settings& settings) {
   auto made = std::make_unique<parts>();
   made->settings = settings;
+  made->limits = std::make_unique<admission_options>(settings.admission,
+                                                     made->metrics, &LogEvent);
   for (const auto step :
        {&parts::MakeProxy, &parts::MakeAnnouncer, &parts::Listen}) {
     if (const auto outcome = (made.get()->*step)(); !outcome) {
--- a/src/app/entry_role.cc
+++ b/src/app/entry_role.cc
@@ -1,9 +1,11 @@
 #include "entry_role.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 
+#include "admission_options.h"
 #include "chiveglade/core/wall_clock.h"
 #include "chiveglade/net/h2_server.h"
 #include "chiveglade/net/http_server.h"
@@ -29,6 +31,10 @@
 // a second that the share of the store's writes allows for.
 constexpr size_t kClaimsSwept = 40;
 
+void LogEvent(const char* event, const observe::log_fields& fields) {
+  observe::LogInfo(event, fields);
+}
+
 }  // namespace
 
 // Members are destroyed in reverse order, the event loop last.
@@ -36,6 +42,7 @@
   net::asio::io_context loop;
   entry_context context{loop};
   peer_pool peers{loop};
+  std::unique_ptr<admission_options> limits;
   std::unique_ptr<operator_api> api;
   std::unique_ptr<heartbeat_service> heartbeats;
   std::shared_ptr<routing::claim_table> claims;
@@ -132,14 +139,19 @@
          timer->async_wait([timer, then = std::move(then)](
                                const boost::system::error_code&) { then(); });
        }});
-  routing::front_options limits;
-  limits.entry = settings.name;
-  limits.listen = settings.caller_listen;
-  limits.max_open_requests = settings.open_requests;
-  limits.max_header_bytes = settings.max_header_bytes;
-  limits.max_body_bytes = settings.max_body_bytes;
+  const auto callers =
+      limits->Http(port_use::kClients, settings.max_body_bytes);
+  routing::front_options options;
+  options.entry = settings.name;
+  options.listen = settings.caller_listen;
+  options.max_connections = callers.max_connections;
+  options.socket_buffer_bytes = callers.socket_buffer_bytes;
+  options.max_open_requests =
+      std::min(settings.open_requests, limits->PassingStreams());
+  options.max_header_bytes = settings.max_header_bytes;
+  options.max_body_bytes = settings.max_body_bytes;
   auto listening = routing::request_front::Make(
-      loop, limits,
+      loop, options,
       {[this] { return context.reader->view()->manifest; }, context.directory,
        claims, [this](const config::endpoint& at) { return peers.Find(at); },
        [this](const routing::request_record& record) {
@@ -161,21 +173,23 @@
         return api->AnswerQuestion(path, yield);
       });
   auto peer_server = net::h2_server::Make(
-      loop, settings.peer_listen.ip, settings.peer_listen.port, {},
+      loop, settings.peer_listen.ip, settings.peer_listen.port,
+      limits->Peers({}),
       [this](const net::h2_stream_ptr& stream, const net::yield& yield) {
         heartbeats->Handle(stream, yield);
-      });
+      },
+      limits->admit());
   if (!peer_server) {
     return peer_server.last_reason();
   }
   agents = *std::move(peer_server);
-  net::http_server_options limits;
-  limits.max_body_bytes = config::kMaxManifestBytes;
   auto operator_server = net::http_server::Make(
-      loop, settings.operator_listen.ip, settings.operator_listen.port, limits,
+      loop, settings.operator_listen.ip, settings.operator_listen.port,
+      limits->Http(port_use::kOperators, config::kMaxManifestBytes),
       [this](const net::http_request& request, const net::yield& yield) {
         return api->Handle(request, yield);
-      });
+      },
+      {limits->admit(), nullptr});
   if (!operator_server) {
     return operator_server.last_reason();
   }
@@ -208,6 +222,7 @@
   RunEvery(context.control, kGaugeInterval, [this] {
     context.directory->Expire();
     UpdateGauges(context, front->open_requests());
+    limits->UpdateGauges();
     const auto view = context.reader->view();
     if (context.scheduler->holds_role() && view->manifest) {
       std::vector<std::string> tenants;
@@ -251,6 +266,8 @@
   context.peer = [raw = made.get()](const std::string& address) {
     return raw->peers.Find(address);
   };
+  made->limits = std::make_unique<admission_options>(
+      settings.admission, context.metrics, &LogEvent);
   for (const auto step :
        {&parts::MakeStore, &parts::MakeControl, &parts::MakeScheduler,
         &parts::MakeRouting, &parts::Listen}) {
--- a/src/app/gateway_role.cc
+++ b/src/app/gateway_role.cc
@@ -64,7 +64,11 @@
   config::gateway_settings settings;
   observe::metrics metrics;
   observe::event_log events{STDOUT_FILENO, {}, &boot_clock::now};
-  admission_options limits{settings.admission, metrics, events};
+  admission_options limits{
+      settings.admission, metrics,
+      [this](const char* event, const observe::log_fields& fields) {
+        events.Write(event, fields);
+      }};
   peer_pool peers{loop, PeerOptions()};
   store_link link{&boot_clock::now,
                   [this](const char* event, const observe::log_fields& fields) {
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -65,7 +65,11 @@
   config::runner_settings settings;
   observe::metrics metrics;
   observe::event_log events{STDOUT_FILENO, {}, &boot_clock::now};
-  admission_options limits{settings.admission, metrics, events};
+  admission_options limits{
+      settings.admission, metrics,
+      [this](const char* event, const observe::log_fields& fields) {
+        events.Write(event, fields);
+      }};
   peer_pool peers{loop, PeerOptions()};
   store::table_service table;
   platform::worker_client worker;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -88,6 +88,47 @@
            });
 }
 
+void ReadAdmission(json_reader& in, admission_settings& out) {
+  in.Real("memory_mb", out.memory_mb, 0, kMaxMachineSize,
+          "Memory of the machine that this process may use, in MB. 0: the "
+          "system is asked.");
+  if (out.memory_mb != 0 && out.memory_mb < kLeastMemoryMb) {
+    in.Problem("memory_mb", "0 or at least 32");
+  }
+  in.Real("max_fds", out.max_fds, 0, kMaxMachineSize,
+          "Descriptors that this process may have open; the limits of "
+          "connections are shares of it. 0: the system is asked.");
+  if (out.max_fds != 0 && out.max_fds < kLeastDescriptors) {
+    in.Problem("max_fds", "0 or at least 256");
+  }
+  in.Number("receive_budget_kb", out.receive_budget_kb, {0, kMaxKilobytes},
+            presence::kOptional,
+            "Most memory for requests that are being received or handled and "
+            "answers that are being sent, in KiB. Only lowers the share of "
+            "`memory_mb` that applies otherwise, a fifth. 0: the share.");
+  if (out.receive_budget_kb != 0 && out.receive_budget_kb < 1'024) {
+    in.Problem("receive_budget_kb", "0 or at least 1024");
+  }
+  in.Number("max_header_fields", out.max_header_fields, {16, 65'536},
+            presence::kOptional,
+            "Most fields of one HTTP/1.1 header. No header within 16 KiB has "
+            "more than the default.");
+  in.Number("max_chunk_extension_bytes", out.max_chunk_extension_bytes,
+            {0, 1 << 20}, presence::kOptional,
+            "Most bytes of chunk extensions in one request body.");
+  in.Number("connections_per_address", out.connections_per_address,
+            {0, 1'000'000}, presence::kOptional,
+            "Most connections of one client address at the port of callers or "
+            "of the worker. Behind a balancer all callers have one address. 0: "
+            "not limited.");
+  in.Duration("receive_stall_ms", out.receive_stall, {1'000, 600'000},
+              "Longest time without a byte while a request is received.");
+  in.Duration("request_time_ms", out.request_time, {1'000, 600'000},
+              "Longest time from the first byte of a request to its last.");
+  in.Duration("send_time_ms", out.send_time, {1'000, 600'000},
+              "Longest time until an answer is taken.");
+}
+
 void ReadEntry(json_reader& in, entry_settings& out) {
   in.Name("name", out.name, presence::kRequired,
           "Name of this entry, unique among those that run at one time.");
@@ -123,6 +164,7 @@
             presence::kOptional, "Largest request header, in bytes.");
   in.Duration("shutdown_grace_ms", out.shutdown_grace, {0, kMaxMillis},
               "Longest wait for requests in flight at a graceful stop.");
+  ReadAdmission(in, out.admission);
   in.Finish();
 }
 
@@ -158,6 +200,7 @@
               "Lease that the worker holds on each task.");
   in.Duration("shutdown_grace_ms", out.shutdown_grace, {0, kMaxMillis},
               "Longest wait for requests in flight at a graceful stop.");
+  ReadAdmission(in, out.admission);
   in.Finish();
 }
 
@@ -169,47 +212,6 @@
           "pairs are tried.");
 }
 
-void ReadAdmission(json_reader& in, admission_settings& out) {
-  in.Real("memory_mb", out.memory_mb, 0, kMaxMachineSize,
-          "Memory of the machine that this process may use, in MB. 0: the "
-          "system is asked.");
-  if (out.memory_mb != 0 && out.memory_mb < kLeastMemoryMb) {
-    in.Problem("memory_mb", "0 or at least 32");
-  }
-  in.Real("max_fds", out.max_fds, 0, kMaxMachineSize,
-          "Descriptors that this process may have open; the limits of "
-          "connections are shares of it. 0: the system is asked.");
-  if (out.max_fds != 0 && out.max_fds < kLeastDescriptors) {
-    in.Problem("max_fds", "0 or at least 256");
-  }
-  in.Number("receive_budget_kb", out.receive_budget_kb, {0, kMaxKilobytes},
-            presence::kOptional,
-            "Most memory for requests that are being received or handled and "
-            "answers that are being sent, in KiB. Only lowers the share of "
-            "`memory_mb` that applies otherwise, a fifth. 0: the share.");
-  if (out.receive_budget_kb != 0 && out.receive_budget_kb < 1'024) {
-    in.Problem("receive_budget_kb", "0 or at least 1024");
-  }
-  in.Number("max_header_fields", out.max_header_fields, {16, 65'536},
-            presence::kOptional,
-            "Most fields of one HTTP/1.1 header. No header within 16 KiB has "
-            "more than the default.");
-  in.Number("max_chunk_extension_bytes", out.max_chunk_extension_bytes,
-            {0, 1 << 20}, presence::kOptional,
-            "Most bytes of chunk extensions in one request body.");
-  in.Number("connections_per_address", out.connections_per_address,
-            {0, 1'000'000}, presence::kOptional,
-            "Most connections of one client address at the port of callers or "
-            "of the worker. Behind a balancer all callers have one address. 0: "
-            "not limited.");
-  in.Duration("receive_stall_ms", out.receive_stall, {1'000, 600'000},
-              "Longest time without a byte while a request is received.");
-  in.Duration("request_time_ms", out.request_time, {1'000, 600'000},
-              "Longest time from the first byte of a request to its last.");
-  in.Duration("send_time_ms", out.send_time, {1'000, 600'000},
-              "Longest time until an answer is taken.");
-}
-
 void ReadGateway(json_reader& in, gateway_settings& out) {
   in.Name("name", out.name, presence::kRequired,
           "Name of this gateway, unique among those that run at one time.");
--- a/src/net/h2_session.cc
+++ b/src/net/h2_session.cc
@@ -193,6 +193,7 @@
   if (const size_t ready = std::min(size, of->unread()); ready > 0) {
     std::memcpy(into, of->inbox.data() + of->inbox_read, ready);
     of->inbox_read += ready;
+    OnBodyRead(*of, ready);
     if (of->unread() == 0) {
       of->inbox.clear();
       of->inbox_read = 0;
@@ -443,12 +444,20 @@
     const size_t direct = std::min(bytes.size(), of.read_size);
     std::memcpy(of.read_into, bytes.data(), direct);
     Consume(of.id, direct);
+    OnBodyRead(of, direct);
     Resume(of.on_read, result<size_t>(direct));
     bytes.remove_prefix(direct);
   }
   of.inbox.append(bytes);
 }
 
+void h2_session::OnBodyRead(h2_stream_state& of, size_t size) {
+  if (!options_.keeps_bodies && !of.closed) {
+    of.received -= size;
+    received_bytes_ -= size;
+  }
+}
+
 void h2_session::OnRemoteEnd(h2_stream_state& of) {
   // A failed stream delivers no answer to the client, even if one arrives.
   of.remote_end = side_ == side::kServer || !of.failure;
--- a/src/net/h2_session.h
+++ b/src/net/h2_session.h
@@ -110,6 +110,7 @@
   void OnRequest(int32_t id);
   void OnResponse(h2_stream_state& of);
   void OnData(h2_stream_state& of, std::string_view bytes);
+  void OnBodyRead(h2_stream_state& of, size_t size);
   void OnRemoteEnd(h2_stream_state& of);
   void OnLocalEnd(h2_stream_state& of);
   void OnClose(int32_t id, uint32_t code);
--- a/src/routing/request_front.cc
+++ b/src/routing/request_front.cc
@@ -50,6 +50,12 @@
     if (!error) {
       acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    if (!error && state_->options().socket_buffer_bytes > 0) {
+      // Accepted sockets inherit both.
+      const int size = static_cast<int>(state_->options().socket_buffer_bytes);
+      acceptor_.set_option(asio::socket_base::receive_buffer_size(size), error);
+      acceptor_.set_option(asio::socket_base::send_buffer_size(size), error);
+    }
     if (!error) {
       acceptor_.bind(endpoint, error);
     }
--- a/tests/process/admission_test.py
+++ b/tests/process/admission_test.py
@@ -68,9 +68,12 @@
     def __init__(self, program, role, settings, known, directory):
         path = directory / f"{role}.json"
         path.write_text(json.dumps({**settings, **{k: v for k, v in LOWERED.items() if f"`/{k}`" in known[role]}}))
+        self.start(role, [program, role, path], directory)
+
+    def start(self, role, command, directory):
         self.role = role
         with open(directory / f"{role}.log", "wb") as log:
-            self.child = subprocess.Popen([program, role, str(path)], stdout=log, stderr=log,
+            self.child = subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
                                           stdin=subprocess.DEVNULL)
         self.descriptors = 0
 
@@ -294,7 +297,7 @@
         return False
 
 
-def http2_stops_short(port, connections, streams):
+def http2_stops_short(port, connections, streams, fields=HTTP2_REQUEST):
     """Streams with bodies that never end, within the windows that the server opens at once."""
     data = b"".join(http2_frame(0, 0, 1, b"x" * (15 * KIB)) for _ in range(WINDOW_BODY // (15 * KIB)))
     out = []
@@ -304,7 +307,7 @@
             stream = struct.pack(">I", 2 * number + 1)
             body = b"".join(data[at:at + 5] + stream + data[at + 9:at + 9 + 15 * KIB]
                             for at in range(0, len(data), 9 + 15 * KIB))
-            parts.append((http2_frame(1, 4, 2 * number + 1, HTTP2_REQUEST) + body, 1))
+            parts.append((http2_frame(1, 4, 2 * number + 1, fields) + body, 1))
         out.append(Client(port, parts))
     return out
 
@@ -555,7 +558,8 @@
 def settings_known(program):
     """The reference of the settings by role; older programs reject settings that they do not know."""
     text = subprocess.run([program, "settings", "reference"], capture_output=True, text=True, check=True).stdout
-    return {"gateway": text.split("## Gateway")[1].split("## ")[0], "runner": text.split("## Runner")[1]}
+    return {role.lower(): text.split(f"## {role}")[1].split("\n## ")[0]
+            for role in ("Entry", "Agent", "Gateway", "Runner")}
 
 
 def run_cases(cases, build, names, make_system=System):
