Fit the kernel's buffers of all sockets into a quarter of the machine

What callers saw: clients that do not read their answers, or send while their request is being handled, fill the kernel's buffers, which count against the memory of the machine.

Cause: each port divided the receive budget by its connections, but the kernel takes twice the size in each direction, and every port had a budget of its own. By calculation, on a VM of 160 MB with 4,100 descriptors the full buffers of the four ports of a gateway come to 536 MB, 134 for each. Not measured: the kernel's memory is not in that of the process.

Fix: the buffers of all ports together, full in both directions, fit into a quarter of the memory. Where 4 KiB for each would not, the port accepts fewer connections: 1,280 clients on a VM of 160 MB, 2,000 on one of 260 MB as before.

--- a/src/app/admission_options.cc
+++ b/src/app/admission_options.cc
@@ -39,9 +39,13 @@
 // large development machine would be no limit.
 constexpr uint64_t kMostBudget = 256 * kMebi;
 
-// The kernel may hold twice this for each direction of a connection. The lower
-// bound still takes a request of usual size at once.
-constexpr uint64_t kLeastSocketBuffer = 8UL * 1024;
+// Share of the memory for the kernel's buffers of accepted sockets, which count
+// against that of the process while they are full.
+constexpr uint64_t kKernelShare = 4;
+// The kernel holds up to twice the size asked for, in each direction.
+constexpr uint64_t kBuffersPerSocket = 4;
+// Takes a request of usual size at once.
+constexpr uint64_t kLeastSocketBuffer = 4UL * 1024;
 constexpr uint64_t kMostSocketBuffer = 64UL * 1024;
 
 uint64_t MemoryOf(const config::admission_settings& in) {
@@ -76,11 +80,6 @@
   return max_fds > kFileDescriptors ? max_fds - kFileDescriptors : 0;
 }
 
-uint32_t SocketBuffer(uint64_t budget, uint32_t connections) {
-  return static_cast<uint32_t>(
-      std::clamp(budget / connections, kLeastSocketBuffer, kMostSocketBuffer));
-}
-
 }  // namespace
 
 uint32_t ConnectionShare(port_use of, uint64_t max_fds) {
@@ -96,6 +95,25 @@
       accepted * sixteenths / kSixteenths, kLeastConnections, UINT16_MAX));
 }
 
+port_sockets SocketsOf(port_use of, uint64_t memory_bytes, uint64_t max_fds) {
+  uint64_t sixteenths = 1;
+  if (of == port_use::kClients) {
+    sixteenths = 8;
+  } else if (of == port_use::kPeers) {
+    sixteenths = 6;
+  }
+  const uint64_t share = memory_bytes / kKernelShare * sixteenths / kSixteenths;
+  const uint64_t most = std::max(
+      share / (kBuffersPerSocket * kLeastSocketBuffer), kLeastConnections);
+  port_sockets out;
+  out.connections = static_cast<uint32_t>(
+      std::min<uint64_t>(ConnectionShare(of, max_fds), most));
+  out.buffer_bytes = static_cast<uint32_t>(
+      std::clamp(share / (kBuffersPerSocket * out.connections),
+                 kLeastSocketBuffer, kMostSocketBuffer));
+  return out;
+}
+
 uint64_t ReceiveBudget(uint64_t memory_bytes) {
   return std::clamp(memory_bytes / kBudgetShare, kLeastBudget, kMostBudget);
 }
@@ -142,7 +160,8 @@
     uint64_t max_body_bytes) const {
   net::http_server_options out;
   out.max_body_bytes = max_body_bytes;
-  out.max_connections = ConnectionShare(of, max_fds_);
+  const auto sockets = SocketsOf(of, MemoryOf(settings_), max_fds_);
+  out.max_connections = sockets.connections;
   if (of == port_use::kClients) {
     out.max_connections_per_address = settings_.connections_per_address;
   }
@@ -151,15 +170,15 @@
   out.receive_stall = settings_.receive_stall;
   out.request_timeout = settings_.request_time;
   out.write_timeout = settings_.send_time;
-  out.socket_buffer_bytes =
-      SocketBuffer(admit_->budget_bytes(), out.max_connections);
+  out.socket_buffer_bytes = sockets.buffer_bytes;
   return out;
 }
 
 net::h2_options admission_options::Peers(net::h2_options base) const {
-  base.max_connections = ConnectionShare(port_use::kPeers, max_fds_);
-  base.socket_buffer_bytes =
-      SocketBuffer(admit_->budget_bytes(), base.max_connections);
+  const auto sockets =
+      SocketsOf(port_use::kPeers, MemoryOf(settings_), max_fds_);
+  base.max_connections = sockets.connections;
+  base.socket_buffer_bytes = sockets.buffer_bytes;
   return base;
 }
 
--- a/src/app/admission_options.h
+++ b/src/app/admission_options.h
@@ -27,6 +27,19 @@
 // Connections that a port may have when the process has `max_fds` descriptors.
 uint32_t ConnectionShare(port_use of, uint64_t max_fds);
 
+// The sockets that a port accepts: how many, and the size of the kernel's
+// buffer in each direction, in bytes.
+struct port_sockets {
+  uint32_t connections = 0;
+  uint32_t buffer_bytes = 0;
+  friend bool operator==(const port_sockets&, const port_sockets&) = default;
+};
+
+// The sockets of a port such that the full buffers of all ports fit into a
+// quarter of the memory. A small machine accepts fewer connections than it has
+// descriptors for.
+port_sockets SocketsOf(port_use of, uint64_t memory_bytes, uint64_t max_fds);
+
 // Memory for requests and answers of a machine with `memory_bytes`.
 uint64_t ReceiveBudget(uint64_t memory_bytes);
 
