Close refused connections that have been answered first

What callers saw: 1 of 34 ordinary requests beside a crowd was closed without an answer, once, in a run of admission_test.py beside lint and a build (all answered in the runs before).

Cause: when more connections arrive at once than a port keeps for refusals, 21 in this test, the oldest refused one was closed, whether or not it had been answered yet. The burst of 300 connections of this case can do that while the process has no time.

Fix: one that has been answered is closed first, and at least 64 are kept for refusals. Had more than that arrived before one is read, a connection would still be closed without an answer; the limit of descriptors allows no more.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -408,6 +408,7 @@
   asio::async_write(
       stream_, asio::buffer(*text),
       [self = shared_from_this(), text](beast::error_code error, size_t) {
+        self->was_refused_ = true;
         error ? self->End() : self->Linger();
       });
 }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -46,6 +46,9 @@
   // Closes the connection now. Thread-safe.
   void Abort();
 
+  // True once a refusal of the connection has been sent. Thread-safe.
+  bool was_refused() const { return was_refused_; }
+
  private:
   enum class phase { kIdle, kReading, kHandling, kWriting, kLingering };
 
@@ -117,6 +120,7 @@
   boost::asio::steady_timer timer_;
   std::unique_ptr<admission::account> account_;  // null: refused, or no limits
   std::atomic<bool> finishing_ = false;
+  std::atomic<bool> was_refused_ = false;
 };
 
 }  // namespace chiveglade::net
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -18,7 +18,7 @@
 // limit that stay open until they have been told so. If more come, the oldest
 // are closed.
 constexpr uint32_t kRefusedShare = 8;
-constexpr uint32_t kLeastRefused = 16;
+constexpr uint32_t kLeastRefused = 64;
 
 class http_server_impl : public http_server,
                          public std::enable_shared_from_this<http_server_impl> {
@@ -96,8 +96,7 @@
       connections_.emplace(id, connection);
       if (refuse) {
         if (refused_.size() >= max_refused_) {
-          oldest = connections_.at(*refused_.begin()).lock();
-          refused_.erase(refused_.begin());
+          oldest = TakeRefused();
         }
         refused_.emplace(id);
       }
@@ -108,6 +107,22 @@
     connection->Start(refuse);
   }
 
+  // Takes the oldest refused connection that has been answered, or the oldest
+  // of all. Call with the lock held.
+  std::shared_ptr<http_connection> TakeRefused() {
+    auto chosen =
+        std::find_if(refused_.begin(), refused_.end(), [this](uint64_t id) {
+          const auto open = connections_.at(id).lock();
+          return !open || open->was_refused();
+        });
+    if (chosen == refused_.end()) {
+      chosen = refused_.begin();
+    }
+    auto out = connections_.at(*chosen).lock();
+    refused_.erase(chosen);
+    return out;
+  }
+
   void Remove(uint64_t id) {
     std::unique_lock lock(mutex_);
     connections_.erase(id);
