Widen a product in a test before it is computed

Cause: the linter rejects the multiplication of two 32-bit values for a comparison with size_t. The check is unchanged.

--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -353,7 +353,7 @@
   for (int i = 0; i < 100; ++i) {
     started += world.Starts().size();
   }
-  CHECK(started == 2 * kMaxRunsPerVm);
+  CHECK(started == size_t{2} * kMaxRunsPerVm);
 }
 
 TEST_CASE("no task starts on draining, silent or out-of-service VMs") {
