Count the runs that a coordinator holds as they come and go

Each submission at the coordinator, and each gateway's question, added up the runs of all VMs. The sum is kept with AddRun and RemoveRun now; the result is the same.

--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -508,11 +508,7 @@
 }
 
 uint64_t coordinator::held_bytes() const {
-  uint64_t runs = 0;
-  for (const auto& [name, vm] : state_->vms) {
-    runs += vm.runs.size();
-  }
-  return state_->job_bytes + runs * kRunBytes +
+  return state_->job_bytes + state_->run_count * kRunBytes +
          state_->ended.size() * kEndedJobBytes;
 }
 
--- a/src/workflow/coordinator_runs.cc
+++ b/src/workflow/coordinator_runs.cc
@@ -55,7 +55,7 @@
                                  ? hosted.step->demand.millicores
                                  : 0;
   }
-  vm.runs.emplace(run, std::move(hosted));
+  run_count += vm.runs.emplace(run, std::move(hosted)).second ? 1 : 0;
   vm.load_stale = true;
 }
 
@@ -69,6 +69,7 @@
         step->latency_target.count() > 0 ? step->demand.millicores : 0;
   }
   vm.runs.erase(at);
+  --run_count;
   vm.load_stale = true;
   placement_due = true;
 }
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -198,6 +198,7 @@
   std::set<std::string> active;  // ids of jobs without a final phase
   // Sums of job_state::bytes, in all and by queue.
   uint64_t job_bytes = 0;
+  uint64_t run_count = 0;  // of vm_state::runs, over all VMs
   std::map<std::string, uint64_t> job_bytes_by_queue;
   std::map<std::string, ended_view> ended;
   // Keys of `ended` by the time of their end.
--- a/tests/workflow/job_admission_test.cc
+++ b/tests/workflow/job_admission_test.cc
@@ -216,6 +216,18 @@
   CHECK(world.core->held_bytes(kQueue) == JobBytes(small.job));
   CHECK(world.core->held_bytes("other") == JobBytes(large.job));
   CHECK(world.core->held_bytes() == JobBytes(small.job) + JobBytes(large.job));
+  world.ReportRunning("vm", {});
+  const auto started = world.Starts().size();
+  REQUIRE(started > 0);
+  CHECK(world.core->held_bytes() ==
+        JobBytes(small.job) + JobBytes(large.job) + started * kRunBytes);
+  for (const auto& next : world.sent) {
+    uint64_t number = 0;
+    for (const auto& start : next.message.starts) {
+      world.ReportEnd("vm", ++number, start.run, run_result::kStopped);
+    }
+  }
+  CHECK(world.core->held_bytes() == JobBytes(small.job) + JobBytes(large.job));
   world.core->CancelJob("b", world.now);
   world.Commit();
   world.core->OnEndedWritten(world.core->TakeEnded(world.now, 10));
