review: ends of a worker whose born went down are acknowledged and lost

Cause: a coordinator forgets how many ends of a VM it has applied only when a report names a higher born. After a restart of the VM whose time of day has jumped back, the first ends of the new life are skipped as known, and acknowledged.

--- a/review/standin-3/platform_store.py
+++ b/review/standin-3/platform_store.py
@@ -115,6 +115,7 @@
         self.state = Rows()
         self.record = record
         self.fault = None
+        self.answer_s = 0.0  # what a sound answer takes
         super().__init__(address, Handler)
         self.port = self.server_address[1]
         threading.Thread(target=self.serve_forever, daemon=True).start()
@@ -165,6 +166,7 @@
             time.sleep(fault[1])
             self.close_connection = True
             return
+        time.sleep(server.answer_s)
         status, value = (503, {}) if fault and fault[0] == "busy" else server.call(method, self.path, body)
         data = json.dumps(value).encode()
         self.send_response(status)
--- a/review/standin-3/worker.py
+++ b/review/standin-3/worker.py
@@ -50,6 +50,7 @@
         self.starts = []  # (time, task, run, token, life)
         self.runs = []  # [task, begin, end or None], in all lives
         self.done = []  # (time, task, run)
+        self.acknowledged = []  # the same, for ends `done` that the cursor has reached; not those before a lapse
         self.specs = {}
         self.life = None
         self.server = None
@@ -241,6 +242,8 @@
         for number, task, run, how, _ in [end for end in life.ended if end[0] <= cursor]:
             lapsed = ", after its lease had lapsed" if number <= life.ends_before_lapse else ""
             self.record(self.name, f"acknowledged {number}: {task} run {run} {how}{lapsed}")
+            if how == "done" and not lapsed:
+                self.acknowledged.append((time.monotonic(), task, run))
         life.ended = [end for end in life.ended if end[0] > cursor]
         if body.get("until_ms"):
             self._extend(life, body["until_ms"])
