--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -x target/chiveglade
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/standin-3 python3 -c 'import deployment, platform_store, worker'
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/standin-3 python3 -c 'import deployment, link, platform_store, worker'
--- a/review/standin-3/deployment.py
+++ b/review/standin-3/deployment.py
@@ -73,6 +73,9 @@
         self.path.write_text(json.dumps(settings, indent=1))
         self.child = None
 
+    def change(self, **settings):
+        self.path.write_text(json.dumps({**json.loads(self.path.read_text()), **settings}, indent=1))
+
     def start(self):
         with open(self.directory / f"{self.name}.log", "ab") as log:
             self.child = subprocess.Popen([str(PROGRAM), self.role, str(self.path)], stdout=log, stderr=log,
