--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,8 @@
-"""UNASKED: a job whose cancelling has been acknowledged starts seconds later.
+"""LIMIT: a task that asks for the largest number of millicores counts as nothing, and its VM takes any number of others.
 
-Two gateways. The one that doesn't coordinate is cut off from the store. A caller hands a job in there, is told that it is
-unknown whether the job was stored, and cancels it at the other gateway, which answers at once. Then the cut ends.
+The coordinator's gateway is killed and starts again. A job that can never be done is handed in there: its task asks for
+2**63 - 1 millicores. Ordinary jobs follow. Without the kill the same job is handed in too; it is refused then, since the
+coordinator has known for 10 s how large the VMs are.
 """
 
 import pathlib
@@ -11,54 +12,70 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin-3"))
 import deployment as lib  # noqa: E402
-from link import Link  # noqa: E402
 
-CUT_S = 5.5  # core_cut of mttla-ladder: count = 1, for_s = 5.5
-TASK_MS = 2000
+WORKERS = 4
+HOPELESS = 2**63 - 1
+RESTART_S = 0.5
+
+
+def most_at_once(worker, sent):
+    """The highest sum of millicores of the tasks of these jobs that ran at one time, and their number."""
+    runs = [(begin, end, sent[task.split(".")[0]]) for task, begin, end in list(worker.runs)
+            if task.split(".")[0] in sent]
+    out = (0, 0)
+    for begin, _, _ in runs:
+        beside = [cpu for from_, to, cpu in runs if from_ <= begin and (to is None or to > begin)]
+        out = max(out, (sum(beside), len(beside)))
+    return out
 
 
 def case(record, trouble):
-    deployment = lib.Deployment(record, workers=4)
-    links = []
-    for gateway in deployment.gateways:
-        links.append(Link(("127.0.0.1", deployment.store.port), record, f"link of {gateway.name} to the store"))
-        gateway.change(store=[f"127.0.0.1:{links[-1].port}"])
+    deployment = lib.Deployment(record, gateways=3, workers=WORKERS)
+    sent = {}  # job -> millicores of each of its tasks
+
+    def submit(gateway, cpu, count, length_ms):
+        name = lib.new_id()
+        sent[name] = cpu
+        body = lib.job(length_ms, count=count, cpu=cpu)
+        return lib.ask(gateway.front, "POST", lib.PREFIX + name, body, record=record)
+
     try:
         deployment.start()
         time.sleep(12)  # traffic starts 10 s after the machines
         leader = deployment.coordinator()
         if not leader:
             raise lib.CannotRun("no coordinator")
-        other = next(n for n, gateway in enumerate(deployment.gateways) if gateway is not leader)
-        # Ordinary jobs before it.
-        for _ in range(10):
-            lib.ask(deployment.gateways[other].front, "POST", lib.PREFIX + lib.new_id(), lib.job(200), record=record)
-        began = time.monotonic()
-        if trouble:
-            links[other].cut()
-        name = lib.new_id()
-        lib.ask(deployment.gateways[other].front, "POST", lib.PREFIX + name, lib.job(TASK_MS, count=4), record=record)
-        answer = lib.ask(leader.front, "DELETE", lib.PREFIX + name, record=record)
-        acknowledged = time.monotonic()
-        if answer.status not in (200, 202, 204, 410):
-            raise lib.CannotRun("the cancelling was not acknowledged")
+        # One task on each VM, so that something is reserved there.
+        for _ in range(WORKERS):
+            if submit(leader, 1000, 1, 40000).status != 200:
+                raise lib.CannotRun("a job was not accepted")
+        time.sleep(1)
         if trouble:
-            time.sleep(max(0.0, began + CUT_S - time.monotonic()))
-            links[other].mend()
-        time.sleep(10)
-        lib.ask(leader.front, "GET", lib.PREFIX + name, record=record)
-        late = [start for start in deployment.starts(name) if start[0] > acknowledged + lib.CANCEL_S]
-        for at, task, run, *_ in late:
-            record("case", f"{task} run {run} was started {at - acknowledged:.2f} s after the cancelling was acknowledged "
-                           f"({answer.status})")
-        if late:
-            return (f"{len(late)} tasks of a job were started {late[0][0] - acknowledged:.2f} s after its cancelling "
-                    f"was acknowledged with {answer.status}")
-        return None
+            record(leader.name, "is killed")
+            leader.kill()
+            time.sleep(RESTART_S)
+            leader.start()
+            lib.wait_for(lambda: lib.ask(leader.ready, "GET", "/readyz").status == 200, "the gateway to be ready")
+            lib.wait_for(deployment.coordinator, "a coordinator")
+            time.sleep(1)
+        submit(leader, HOPELESS, 1, 30000)
+        time.sleep(1)
+        for number in range(8):
+            submit(deployment.gateways[number % 3], 1000, 10, 3000)
+        time.sleep(5)
+        broken = []
+        for worker in deployment.workers:
+            cpu, tasks = most_at_once(worker, sent)
+            ordinary, ordinary_tasks = most_at_once(worker, {n: c for n, c in sent.items() if c != HOPELESS})
+            room = worker.capacity["cpu"]
+            record("case", f"{worker.name} has {room} millicores; at most {tasks} tasks of {cpu} ran at once there, "
+                           f"{ordinary_tasks} of {ordinary} of them of ordinary jobs")
+            if ordinary > room:
+                broken.append(f"{worker.name} has {room} millicores, and {ordinary_tasks} tasks of ordinary jobs ran "
+                              f"at once there, of {ordinary} in all, beside the one that can never be done")
+        return "; ".join(broken) or None
     finally:
         deployment.stop()
-        for link in links:
-            link.stop()
 
 
 if __name__ == "__main__":
