Keep a job out whose cancellation was acknowledged before its write arrived

What callers saw: a job was handed in at a gateway that was cut off from the store, got 504, and was cancelled at another gateway with 410.

Cause: cancelling an absent job stored nothing, and the write that accepts a job is conditional on the absence of the job and of its end only. Held up by a partition, it took effect whenever it arrived.

Fix: the 410 follows a row that cancels the job, and accepting a job has the absence of that row as a condition, so the store rejects the late write of any gateway. A submission that came after the cancellation replaces the row; the order is known by the store's versions, and where it is not, the submission gets 503. The coordinator deletes the row after 150 s by its version. A gateway stores 300 of them in 150 s.

--- a/include/chiveglade/workflow/job_rows.h
+++ b/include/chiveglade/workflow/job_rows.h
@@ -11,6 +11,10 @@
 // first digit of the ID: a part carries out one transaction after another, and
 // when the store is slow, acceptance must not wait for the coordinator's writes
 // nor they for it.
+//
+// A job may be cancelled while the write of its submission is still under way,
+// held up by a partition. Its cancellation is then stored alone and keeps the
+// submission out. The coordinator deletes it once no such write can arrive.
 #ifndef CHIVEGLADE_WORKFLOW_JOB_ROWS_H_
 #define CHIVEGLADE_WORKFLOW_JOB_ROWS_H_
 
@@ -33,6 +37,8 @@
 inline constexpr std::string_view kJobIdDigits = "0123456789abcdefABCDEF";
 // Ends the key of the row that cancels a job.
 inline constexpr char kCancelSuffix[] = ".cancel";
+// Value of that row.
+inline constexpr char kCancellation[] = "cancelled";
 
 // Value of the row of an ended job.
 struct ended_job {
@@ -75,8 +81,24 @@
 void AppendForget(const std::string& id, std::vector<store::mutation>& out);
 // Most entries of a transaction that the two functions above take for a job.
 inline constexpr size_t kEntriesPerEndedJob = 3;
-// Returns the transaction that accepts a job unless it was accepted before.
-store::transaction AcceptJob(const std::string& id, std::string submission);
+// Returns the key of the row that cancels a job.
+std::string CancellationKey(const std::string& id);
+// Returns the transaction that accepts a job unless it was accepted or
+// cancelled before. A cancellation of this version is deleted instead, since
+// the job was submitted again after it; 0: none.
+store::transaction AcceptJob(const std::string& id,
+                             std::string submission,
+                             uint64_t cancellation = 0);
+// Returns the transaction that cancels a job for which there is no row, so that
+// it cannot be accepted by a write that arrives later. `version` is that of an
+// earlier cancellation, which is replaced; 0: none.
+store::transaction CancelAbsentJob(const std::string& id, uint64_t version);
+// Adds what deletes such a cancellation unless it has been replaced since.
+void AppendForgetCancellation(const std::string& id,
+                              uint64_t version,
+                              store::transaction& out);
+// Entries of a transaction that the function above takes for a job.
+inline constexpr size_t kEntriesPerCancellation = 3;
 
 }  // namespace chiveglade::workflow
 
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -33,6 +33,8 @@
 // in transactions of at most 100 entries.
 constexpr millis kEndedInterval{250};
 constexpr size_t kMaxEndedPerWrite = 100 / workflow::kEntriesPerEndedJob;
+constexpr size_t kMaxCancellationsPerWrite =
+    100 / workflow::kEntriesPerCancellation;
 
 // A gateway that has not asked for room for this long accepts no jobs.
 constexpr millis kGatewaySilent{5'000};
@@ -120,7 +122,10 @@
       interference_->Tick();
     }
   });
-  RunEvery(on_, kEndedInterval, [this] { WriteEnded(); });
+  RunEvery(on_, kEndedInterval, [this] {
+    WriteEnded();
+    DeleteEarlyCancellations();
+  });
 }
 
 bool coordinator_host::HoldsForSure() const {
@@ -240,6 +245,7 @@
   progress_.clear();
   unreadable_.clear();
   waiting_rows_.clear();
+  early_cancellations_ = {};
   gained_at_ = hooks_.clock();
   // Nobody else writes progress now, and a job leaves its table only after its
   // last progress, so the two tables can be read side by side.
@@ -492,7 +498,11 @@
   const auto now = hooks_.clock();
   if (id.ends_with(kCancelSuffix)) {
     id.resize(id.size() - (sizeof(kCancelSuffix) - 1));
-    coordinator_->CancelJob(id, now);
+    if (coordinator_->FindJobView(id)) {
+      coordinator_->CancelJob(id, now);
+    } else {
+      early_cancellations_.Add(id, in.version, now);
+    }
     return;
   }
   const auto job = workflow::DecodeSubmission(in.value);
@@ -516,6 +526,7 @@
       }
     }
   }
+  early_cancellations_.Remove(id);  // It was submitted again.
   coordinator_->AddJob(id, *job, progress, now, hooks_.unix_ms());
 }
 
@@ -695,6 +706,37 @@
       });
 }
 
+void coordinator_host::DeleteEarlyCancellations() {
+  if (!ready() || deleting_cancellations_) {
+    return;
+  }
+  auto change = early_cancellations_.TakeExpired(hooks_.clock(),
+                                                 kMaxCancellationsPerWrite);
+  if (change.mutations.empty()) {
+    return;
+  }
+  deleting_cancellations_ = true;
+  const size_t rows = change.mutations.size();
+  hooks_.table.commit(
+      std::move(change), [this, rows, epoch = leader_.epoch](
+                             const store::commit_outcome& outcome) {
+        deleting_cancellations_ = false;
+        if (!coordinator_ || leader_.epoch != epoch) {
+          return;
+        }
+        if (outcome.status == store::commit_status::kCommitted) {
+          early_cancellations_.OnDeleted();
+          return;
+        }
+        // The rest is deleted in the next round.
+        early_cancellations_.OnNotDeleted(outcome.conflicting_key);
+        hooks_.log("cancellations_not_deleted",
+                   {{"rows", std::to_string(rows)},
+                    {"conflict", outcome.conflicting_key},
+                    {"reason", outcome.why.detail}});
+      });
+}
+
 void coordinator_host::SendOrders() {
   for (const auto& next : coordinator_->TakeOrders(hooks_.clock())) {
     Send(next);
--- a/src/app/coordinator_host.h
+++ b/src/app/coordinator_host.h
@@ -19,6 +19,7 @@
 #include "chiveglade/store/table_follower.h"
 #include "chiveglade/store/table_scan.h"
 #include "chiveglade/workflow/coordinator.h"
+#include "chiveglade/workflow/early_cancellations.h"
 #include "chiveglade/workflow/fenced_writer.h"
 #include "chiveglade/workflow/job_admission.h"
 #include "commit_pacer.h"
@@ -134,6 +135,7 @@
   void Commit();
   // Moves jobs to the ended ones. Not urgent, so one write at a time.
   void WriteEnded();
+  void DeleteEarlyCancellations();
   void SendOrders();
   void Send(const workflow::coordinator::addressed_orders& next);
 
@@ -165,6 +167,8 @@
   std::optional<workflow::candidate> handed_to_;  // while that is written
   boot_time claimed_at_{};
   bool writing_ended_ = false;
+  workflow::early_cancellations early_cancellations_;
+  bool deleting_cancellations_ = false;
   boot_time refusal_logged_at_{};
   boot_time informed_as_of_{};  // of all that `coordinator_` was given
   millis overdue_age_{0};       // of the news; zero: they are not overdue
--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -40,6 +40,9 @@
 // submission is worked on there.
 constexpr millis kMaxForwardTime{1'600};
 constexpr size_t kMaxFinal = 20'000;
+// Cancellations of jobs that are not stored, within their retention. A
+// coordinator holds some 200 bytes for each.
+constexpr size_t kMaxEarlyCancellations = 300;
 // A count of pending jobs may be this old.
 constexpr millis kPendingAge{1'500};
 constexpr char kRetryAfterSeconds[] = "1";
@@ -48,6 +51,8 @@
 // Between gateways: the version of the catalogue that a request must be
 // answered by at least, and the one that it was answered by.
 constexpr char kVersionHeader[] = "chiveglade-catalogue";
+// The newest version of the store that the gateway knew when it got a request.
+constexpr char kStoreVersionHeader[] = "chiveglade-store-version";
 // Answers a peer that asked for a newer version; callers never see it.
 constexpr int kOlderCatalogue = 409;
 
@@ -120,6 +125,7 @@
     : on_(std::move(on)),
       peers_(peers),
       admission_(hooks.job_budget_bytes),
+      early_cancellations_(kMaxEarlyCancellations),
       metrics_(metrics),
       host_(host),
       hooks_(std::move(hooks)) {}
@@ -155,7 +161,7 @@
                   "the configuration in force has not been read yet");
   }
   seen_version_ = version;
-  return Route(request, kind, yield);
+  return Route(request, store_version_, kind, yield);
 }
 
 uint64_t job_front::CatalogueVersion() const {
@@ -170,8 +176,10 @@
   if (version < ToVersion(wanted)) {
     return {kOlderCatalogue, {}, ""};
   }
+  const auto store_version =
+      ToVersion(net::FindHeader(request.headers, kStoreVersionHeader));
   std::string kind;
-  auto reply = Route(request, kind, yield);
+  auto reply = Route(request, store_version, kind, yield);
   reply.headers.emplace_back(kVersionHeader, std::to_string(version));
   return reply;
 }
@@ -188,6 +196,8 @@
   }
   auto passed_on = request;
   passed_on.headers.emplace_back(kVersionHeader, std::to_string(seen_version_));
+  passed_on.headers.emplace_back(kStoreVersionHeader,
+                                 std::to_string(store_version_));
   auto reply = hooks_.forward(passed_on, timeout, yield);
   const std::string path(net::PathOf(request.target));
   hooks_.log("request_forwarded",
@@ -217,6 +227,7 @@
 }
 
 net::http_reply job_front::Route(const net::http_request& request,
+                                 uint64_t store_version,
                                  std::string& kind,
                                  const net::yield& yield) {
   const auto view = hooks_.operators();
@@ -248,7 +259,7 @@
   if (!platform::IsJobId(id)) {
     return Refuse(400, "bad_id", "the ID of a job is 16 hexadecimal digits");
   }
-  const call in{queue, id, hooks_.clock(), DeadlineOf(request)};
+  const call in{queue, id, hooks_.clock(), DeadlineOf(request), store_version};
   if (request.method == "POST") {
     kind = "submit";
     return Submit(in, request.body, yield);
@@ -359,14 +370,28 @@
                                  std::string row,
                                  bool& may_be_stored,
                                  const net::yield& yield) {
-  const auto change = workflow::AcceptJob(in.id, std::move(row));
+  uint64_t cancellation = 0;  // version of one that the job replaces
   const auto until =
       in.began + std::min(in.time_left - kAnswerMargin, kMaxSubmitTime);
   const auto refuse_at = in.began + in.queue.latency_target / kTargetShare;
   for (;;) {
-    const auto outcome = Commit(change, yield);
-    bool is_stored = outcome.status == commit_status::kCommitted ||
-                     outcome.status == commit_status::kConflict;
+    const auto outcome =
+        Commit(workflow::AcceptJob(in.id, row, cancellation), yield);
+    const bool is_cancelled =
+        outcome.status == commit_status::kConflict &&
+        outcome.conflicting_key == workflow::CancellationKey(in.id);
+    bool is_stored =
+        outcome.status == commit_status::kCommitted ||
+        (outcome.status == commit_status::kConflict && !is_cancelled);
+    if (is_cancelled) {
+      const auto earlier = Read(outcome.conflicting_key, yield);
+      cancellation = earlier && *earlier ? (*earlier)->version : 0;
+      if (cancellation > in.store_version) {
+        // It may have been acknowledged after this request was sent.
+        return RefuseJob(in, 503,
+                         {"cancelled", "the job has just been cancelled"});
+      }
+    }
     if (outcome.status == commit_status::kUnknown) {
       may_be_stored = true;
       // A read tells whether the write was only slow, without queueing a copy
@@ -473,13 +498,16 @@
   }
   const auto until = in.began + in.time_left - kAnswerMargin;
   const std::string key = kJobPrefix + in.id;
+  bool is_counted = false;            // by early_cancellations_
+  uint64_t earlier_cancellation = 0;  // version of its row; 0: none
   for (;;) {
     const auto row = Read(key, yield);
     if (row && *row) {
       // Only while the job is live: once it has ended, nobody would look at the
       // row of the cancellation.
       const auto outcome = Commit(
-          {{{key, (*row)->version}}, {{key + kCancelSuffix, "cancelled"}}},
+          {{{key, (*row)->version}},
+           {{workflow::CancellationKey(in.id), workflow::kCancellation}}},
           yield);
       if (outcome.status == commit_status::kCommitted) {
         hooks_.log("job_cancelled", {{"job", in.id}});
@@ -494,7 +522,22 @@
         return Json(200, "{}");  // There is nothing left to cancel.
       }
       if (ended) {
-        return Refuse(410, "no_job", "no such job exists");
+        // The write of its submission may still be under way.
+        is_counted = is_counted || early_cancellations_.Take(hooks_.clock());
+        if (!is_counted) {
+          return Refuse(503, "too_many_cancellations",
+                        "too many jobs were cancelled that do not exist");
+        }
+        const auto outcome = Commit(
+            workflow::CancelAbsentJob(in.id, earlier_cancellation), yield);
+        if (outcome.status == commit_status::kCommitted) {
+          hooks_.log("absent_job_cancelled", {{"job", in.id}});
+          return Refuse(410, "no_job", "no such job exists");
+        }
+        if (outcome.conflicting_key == workflow::CancellationKey(in.id)) {
+          const auto earlier = Read(outcome.conflicting_key, yield);
+          earlier_cancellation = earlier && *earlier ? (*earlier)->version : 0;
+        }
       }
     }
     if (hooks_.clock() >= until) {
@@ -600,7 +643,7 @@
       return ended;
     }
   }
-  const auto cancelled = Read(kJobPrefix + id + kCancelSuffix, yield);
+  const auto cancelled = Read(workflow::CancellationKey(id), yield);
   if (!cancelled) {
     return cancelled.last_reason();
   }
@@ -657,18 +700,23 @@
         });
       },
       yield);
+  if (*out && **out) {
+    store_version_ = std::max(store_version_, (**out)->version);
+  }
   return *out;
 }
 
 store::commit_outcome job_front::Commit(store::transaction change,
                                         const net::yield& yield) {
-  return AwaitCallback<store::commit_outcome>(
+  auto out = AwaitCallback<store::commit_outcome>(
       on_,
       [this, change = std::move(change)](
           const std::function<void(store::commit_outcome)>& then) {
         hooks_.table.commit(change, then);
       },
       yield);
+  store_version_ = std::max(store_version_, out.version);
+  return out;
 }
 
 void job_front::Wait(millis time, const net::yield& yield) {
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -11,6 +11,7 @@
 #include "admission_options.h"
 #include "chiveglade/net/http_message.h"
 #include "chiveglade/observe/metrics.h"
+#include "chiveglade/workflow/early_cancellations.h"
 #include "chiveglade/workflow/job_admission.h"
 #include "chiveglade/workflow/job_record.h"
 #include "coordinator_host.h"
@@ -71,6 +72,9 @@
     std::string id;
     boot_time began;
     millis time_left;  // of the caller's deadline, from `began`
+    // A row of the store up to this version was written before the request
+    // came.
+    uint64_t store_version;
   };
   // A phase, or none if the job does not exist.
   using phase_or_none = std::optional<workflow::job_phase>;
@@ -83,7 +87,9 @@
   net::http_reply HandleHere(const net::http_request& request,
                              std::string& kind,
                              const net::yield& yield);
+  // `store_version`: see call.
   net::http_reply Route(const net::http_request& request,
+                        uint64_t store_version,
                         std::string& kind,
                         const net::yield& yield);
   net::http_reply Submit(const call& in,
@@ -151,6 +157,7 @@
   strand on_;
   peer_pool& peers_;
   workflow::job_admission admission_;
+  workflow::early_cancellation_limit early_cancellations_;
   uint64_t open_requests_ = 0;
   uint64_t waiting_bytes_ = 0;  // held by requests that wait
   observe::metrics& metrics_;
@@ -159,6 +166,8 @@
   // The newest version of the catalogue that a caller here was answered by,
   // perhaps a peer's. Callers never see an older one again.
   uint64_t seen_version_ = 0;
+  // The newest version that the store has answered with.
+  uint64_t store_version_ = 0;
   // Phases that never change again, so that they need not be asked for.
   std::map<std::string, workflow::job_phase> final_;
   std::deque<std::string> final_order_;
--- a/src/workflow/job_rows.cc
+++ b/src/workflow/job_rows.cc
@@ -56,16 +56,44 @@
                std::vector<store::mutation>& out) {
   out.push_back({kEndedPrefix + id, EncodeEndedJob(in)});
   out.push_back({kJobPrefix + id, std::nullopt});
-  out.push_back({kJobPrefix + id + kCancelSuffix, std::nullopt});
+  out.push_back({CancellationKey(id), std::nullopt});
 }
 
 void AppendForget(const std::string& id, std::vector<store::mutation>& out) {
   out.push_back({kEndedPrefix + id, std::nullopt});
 }
 
-store::transaction AcceptJob(const std::string& id, std::string submission) {
+std::string CancellationKey(const std::string& id) {
+  return kJobPrefix + id + kCancelSuffix;
+}
+
+store::transaction AcceptJob(const std::string& id,
+                             std::string submission,
+                             uint64_t cancellation) {
   const std::string key = kJobPrefix + id;
-  return {{{key, 0}, {kEndedPrefix + id, 0}}, {{key, std::move(submission)}}};
+  const std::string cancellation_key = CancellationKey(id);
+  store::transaction out{
+      {{key, 0}, {kEndedPrefix + id, 0}, {cancellation_key, cancellation}},
+      {{key, std::move(submission)}}};
+  if (cancellation > 0) {
+    out.mutations.push_back({cancellation_key, std::nullopt});
+  }
+  return out;
+}
+
+store::transaction CancelAbsentJob(const std::string& id, uint64_t version) {
+  const std::string key = CancellationKey(id);
+  return {{{kJobPrefix + id, 0}, {kEndedPrefix + id, 0}, {key, version}},
+          {{key, kCancellation}}};
+}
+
+void AppendForgetCancellation(const std::string& id,
+                              uint64_t version,
+                              store::transaction& out) {
+  const std::string key = CancellationKey(id);
+  out.conditions.push_back({kJobPrefix + id, 0});
+  out.conditions.push_back({key, version});
+  out.mutations.push_back({key, std::nullopt});
 }
 
 }  // namespace chiveglade::workflow
--- a/tests/app/coordinator_host_test.cc
+++ b/tests/app/coordinator_host_test.cc
@@ -268,6 +268,31 @@
   CHECK(world.Logged("news_overdue"));
 }
 
+// Guards against cancellations of absent jobs that nobody deletes, and against
+// one that does not outlast a takeover.
+TEST_CASE(
+    "a coordinator deletes cancellations of absent jobs when they are old") {
+  host_world world;
+  const std::string early = workflow::CancellationKey("0early");
+  const std::string later = workflow::CancellationKey("0later");
+  world.store.Commit(workflow::CancelAbsentJob("0early", 0));
+  world.AddJob("0live");
+  world.store.Commit({{}, {{workflow::CancellationKey("0live"), "cancelled"}}});
+  world.host->Start();
+  REQUIRE(world.RunUntil([&] { return world.host->ready(); }));
+  CHECK(world.RunUntil(
+      [&] { return world.store.Read("ended/0live").has_value(); }));
+  CHECK(world.store.Read(early));
+  CHECK(world.host->FindJobView("0early") == std::nullopt);
+  world.passed = workflow::kEarlyCancellationRetention - millis(5'000);
+  world.store.Commit(workflow::CancelAbsentJob("0later", 0));
+  REQUIRE(world.RunUntil([&] { return world.Logged("news_heard"); }));
+  CHECK(world.store.Read(early));
+  world.passed += millis(6'000);
+  CHECK(world.RunUntil([&] { return !world.store.Read(early); }));
+  CHECK(world.store.Read(later));
+}
+
 TEST_CASE("a holder that hears of no jobs does not count them") {
   host_world world;
   world.host->Start();
--- a/tests/app/job_front_test.cc
+++ b/tests/app/job_front_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/detached.hpp>
@@ -133,6 +134,27 @@
     return Send("POST", std::string("/jobs/") + kId, kBody);
   }
 
+  // A peer passes a submission on, which it got when the store had answered it
+  // with this version.
+  net::http_reply SubmitByPeer(uint64_t store_version) {
+    net::http_reply out;
+    net::asio::spawn(
+        control,
+        [&](const net::yield& yield) {
+          out = front->HandleForPeer(
+              {"POST",
+               std::string("/jobs/") + kId,
+               {{"host", "host:80"},
+                {"chiveglade-store-version", std::to_string(store_version)}},
+               kBody},
+              yield);
+        },
+        net::asio::detached);
+    loop.restart();
+    loop.run();
+    return out;
+  }
+
   void FailCommits(store_fault fault) {
     store.SetFaults([fault](const std::string& call, const std::string&) {
       return call == "commit" ? fault : store_fault::kNone;
@@ -283,6 +305,145 @@
   CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
 }
 
+// Regression, review/14: the write of a submission was held up by a partition
+// and stored after the job had been cancelled elsewhere, and the job started.
+TEST_CASE("a job that was cancelled before its write arrives is not accepted") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  int commits = 0;
+  world.store.SetFaults([&](const std::string& call, const std::string&) {
+    return call != "commit" ? store_fault::kNone
+           : commits++ == 0 ? store_fault::kDelay
+                            : store_fault::kRefuse;
+  });
+  REQUIRE(world.Submit().status == 504);
+  world.store.SetFaults({});
+  CHECK(world.Send("DELETE", target).status == 410);
+  REQUIRE(world.store.held() == 1);
+  world.store.ReleaseHeld();
+  CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+  CHECK(world.Send("GET", target).status == 410);
+  CHECK(world.Send("DELETE", target).status == 410);
+}
+
+// Guards against a cancellation that outlives its purpose: the job runs if it
+// is submitted after it was cancelled.
+TEST_CASE("a job that is submitted again after its cancellation is accepted") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  REQUIRE(world.Send("DELETE", target).status == 410);
+  CHECK(world.Submit().status == 200);
+  CHECK(world.Send("GET", target).body == R"({"state":"queued"})");
+  CHECK_FALSE(world.store.Read(workflow::CancellationKey(kId)));
+  CHECK(world.Send("DELETE", target).status == 200);
+}
+
+// Guards against a job that runs although its cancellation was acknowledged
+// while its submission waited, and against one that is accepted and never runs.
+TEST_CASE("a job that is cancelled during its submission is refused") {
+  front_world world;
+  const auto cancel_elsewhere = [&world] {
+    bool is_cancelled = false;
+    world.store.SetFaults([&world, is_cancelled](const std::string& call,
+                                                 const std::string&) mutable {
+      if (call == "commit" && !std::exchange(is_cancelled, true)) {
+        world.store.Commit(workflow::CancelAbsentJob(kId, 0));
+      }
+      return store_fault::kNone;
+    });
+  };
+  SECTION("by a caller of this gateway") {
+    cancel_elsewhere();
+    const auto refused = world.Submit();
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("not_run") != std::string::npos);
+    CHECK(net::FindHeader(refused.headers, "retry-after") == "1");
+    CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+    CHECK(world.Submit().status == 200);
+  }
+  SECTION("while a peer passes it on") {
+    // This gateway knows the cancellation, but the request is older.
+    REQUIRE(world.Send("POST", "/jobs/00000000000000aa", kBody).status == 200);
+    const auto before = world.store.Read("job/00000000000000aa")->version;
+    REQUIRE(world.Send("DELETE", std::string("/jobs/") + kId).status == 410);
+    CHECK(world.SubmitByPeer(before).status == 503);
+    CHECK_FALSE(world.store.Read(std::string(kJobPrefix) + kId));
+    CHECK(world.SubmitByPeer(before + 1).status == 200);
+  }
+}
+
+// Guards against a cancellation that is acknowledged and deleted right after,
+// because an earlier one of the same job had become old.
+TEST_CASE("a repeated cancellation of an absent job replaces the first") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  REQUIRE(world.Send("DELETE", target).status == 410);
+  const auto first = world.store.Read(workflow::CancellationKey(kId));
+  REQUIRE(first);
+  REQUIRE(world.Send("DELETE", target).status == 410);
+  CHECK(world.store.Read(workflow::CancellationKey(kId))->version >
+        first->version);
+}
+
+// Guards against an acknowledgement of a cancellation that may not be stored.
+TEST_CASE("an absent job's cancellation is acknowledged once it is stored") {
+  front_world world;
+  const std::string target = std::string("/jobs/") + kId;
+  SECTION("the store refuses") {
+    world.FailCommits(store_fault::kRefuse);
+    CHECK(world.Send("DELETE", target).status == 504);
+  }
+  SECTION("the request is lost") {
+    world.FailCommits(store_fault::kLoseRequest);
+    CHECK(world.Send("DELETE", target).status == 504);
+  }
+  SECTION("an answer is lost") {
+    int commits = 0;
+    world.store.SetFaults([&](const std::string& call, const std::string&) {
+      return call == "commit" && commits++ == 0 ? store_fault::kLoseAnswer
+                                                : store_fault::kNone;
+    });
+    CHECK(world.Send("DELETE", target).status == 410);
+    CHECK(world.store.Read(workflow::CancellationKey(kId)));
+  }
+  SECTION("the job is stored meanwhile") {
+    bool is_stored = false;
+    world.store.SetFaults([&](const std::string& call, const std::string&) {
+      if (call == "commit" && !std::exchange(is_stored, true)) {
+        world.store.Commit(
+            workflow::AcceptJob(kId, workflow::EncodeSubmission({})));
+      }
+      return store_fault::kNone;
+    });
+    CHECK(world.Send("DELETE", target).status == 200);
+    CHECK(world.store.Read(workflow::CancellationKey(kId)));
+  }
+}
+
+// Guards against requests to cancel unknown jobs filling the store.
+TEST_CASE("the cancellations of absent jobs are bounded") {
+  front_world world;
+  const auto cancel = [&world](int number) {
+    const std::string digits = std::to_string(number);
+    return world.Send("DELETE",
+                      "/jobs/" + std::string(16 - digits.size(), '0') + digits);
+  };
+  int stored = 0;
+  int refused = 0;
+  for (int i = 0; i < 400; ++i) {
+    const auto reply = cancel(i);
+    stored += reply.status == 410 ? 1 : 0;
+    refused += reply.status == 503 ? 1 : 0;
+  }
+  CHECK(stored == 300);
+  CHECK(refused == 100);
+  CHECK(world.store.Scan(kJobPrefix, SIZE_MAX).size() == 300);
+  REQUIRE(world.Submit().status == 200);
+  CHECK(world.Send("DELETE", std::string("/jobs/") + kId).status == 200);
+  world.now += workflow::kEarlyCancellationRetention;
+  CHECK(cancel(400).status == 410);
+}
+
 TEST_CASE("states come from the stored rows while nobody coordinates") {
   front_world world;
   const std::string target = std::string("/jobs/") + kId;
--- a/tests/support/memory_store.cc
+++ b/tests/support/memory_store.cc
@@ -1,6 +1,7 @@
 #include "tests/support/memory_store.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace chiveglade::testing {
@@ -34,6 +35,10 @@
     case store_fault::kHold:
       held_.push_back({[execute] { execute(false); }, lost});
       return;
+    case store_fault::kDelay:
+      held_.push_back({[execute] { execute(true); }, [] {}});
+      lost();
+      return;
   }
 }
 
@@ -80,7 +85,14 @@
         [then] { then(kLost); }, [then] { then(kRefused); });
   };
   out.commit = [this](const store::transaction& change,
-                      const store::commit_callback& then) {
+                      const store::commit_callback& callback) {
+    // A delayed call has been answered when it takes effect.
+    const auto then = [callback, answered = std::make_shared<bool>(false)](
+                          const store::commit_outcome& outcome) {
+      if (!std::exchange(*answered, true)) {
+        callback(outcome);
+      }
+    };
     const std::string key =
         change.mutations.empty() ? std::string() : change.mutations[0].key;
     Dispatch(
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -17,8 +17,17 @@
 // What happens to one call. `kRefuse`: answered as not applied, without effect.
 // `kLoseRequest`: no effect, the caller sees an unknown outcome (for reads a
 // reason). `kLoseAnswer`: takes effect, the caller sees an unknown outcome.
-// `kHold`: nothing happens until ReleaseHeld or DropHeld.
-enum class store_fault { kNone, kRefuse, kLoseRequest, kLoseAnswer, kHold };
+// `kHold`: nothing happens until ReleaseHeld or DropHeld. `kDelay`: the caller
+// sees an unknown outcome now, and the call, which must be a commit, takes
+// effect at ReleaseHeld.
+enum class store_fault {
+  kNone,
+  kRefuse,
+  kLoseRequest,
+  kLoseAnswer,
+  kHold,
+  kDelay,
+};
 
 // Decides the fault of a call; `call` is "read", "scan", "page", "watch",
 // "commit", "put" or "get", `key` its key, prefix, or first mutated key.
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -253,6 +253,42 @@
   CheckCompletes(world);
 }
 
+// Writes of submissions arrive seconds after they were sent, and callers that
+// were told nothing cancel, before and after that, while gateways restart and
+// lose the store.
+void RunLateWrites(int seed) {
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'019);
+  world.SetFaults({.lost_message = 0.05, .lost_store_answer = 0.1});
+  SubmitJobs(world, 6);
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "late" + std::to_string(i);
+    world.SubmitLate(id, MakeSubmission({MakeStep(2)}), millis(100 * pick(80)));
+    world.Advance(millis(100 + 50 * pick(10)));
+    if (pick(2) == 0) {
+      world.CancelEarly("late" + std::to_string(pick(i + 1)));
+    }
+    const bool on = pick(2) == 0;
+    switch (pick(6)) {
+      case 0:
+        world.RestartGateway(pick(kGateways));
+        break;
+      case 1:
+        world.SetGatewayFrozen(pick(kGateways), on);
+        break;
+      case 2:
+        world.SetStorePartitioned(pick(kGateways), on);
+        break;
+      case 3:
+        world.SetStoreDown(on);
+        break;
+      default:
+        break;
+    }
+  }
+  CheckCompletes(world);
+}
+
 // Returns a number from the environment.
 int Setting(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -541,6 +577,22 @@
   }
 }
 
+// Regression, review/14: a job was accepted by a late write after it had been
+// cancelled, and started.
+TEST_CASE("a late write accepts no job that has been cancelled") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunLateWrites(seed);
+}
+
+TEST_CASE("soak: late writes of jobs that are cancelled", "[.soak]") {
+  const int last = Setting("SOAK_LAST", 2'000);
+  for (int seed = Setting("SOAK_FIRST", 1); seed <= last; ++seed) {
+    CAPTURE(seed);
+    RunLateWrites(seed);
+  }
+}
+
 // Run by hand, with more late messages: SOAK_FIRST and SOAK_LAST are the seeds.
 TEST_CASE("soak: all kinds of faults together", "[.soak]") {
   const int last = Setting("SOAK_LAST", 2'000);
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -166,6 +166,30 @@
   jobs_.emplace(id, in);
 }
 
+void workflow_world::SubmitLate(const std::string& id,
+                                const submission& in,
+                                millis delay) {
+  Schedule(delay, [this, id, in] {
+    const auto outcome = store_.Commit(AcceptJob(id, EncodeSubmission(in)));
+    if (outcome.status == store::commit_status::kCommitted) {
+      jobs_.emplace(id, in);
+    }
+  });
+}
+
+void workflow_world::CancelEarly(const std::string& id) {
+  if (jobs_.contains(id)) {
+    Cancel(id);
+    return;
+  }
+  const auto earlier = store_.Read(CancellationKey(id));
+  const auto outcome =
+      store_.Commit(CancelAbsentJob(id, earlier ? earlier->version : 0));
+  if (outcome.status == store::commit_status::kCommitted) {
+    absent_cancelled_at_.emplace(id, time_);
+  }
+}
+
 void workflow_world::Cancel(const std::string& id) {
   cancelled_at_.emplace(id, time_);
 }
@@ -789,6 +813,9 @@
                                       kStartValidity + kMessageSlack) {
     violations_.push_back("starts long after its cancellation: " + what);
   }
+  if (absent_cancelled_at_.contains(run.task.job)) {
+    violations_.push_back("was cancelled before it was accepted: " + what);
+  }
   for (const uint32_t earlier : job->second.job.steps[run.task.step].after) {
     for (uint32_t i = 0; i < job->second.job.steps[earlier].count; ++i) {
       const run_key first{{run.task.job, 0, earlier, i}, 0};
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -63,6 +63,12 @@
   void Submit(const std::string& id, const submission& in);
   // A cancelled job starts nothing later than a bound after this.
   void Cancel(const std::string& id);
+  // The write that accepts a job reaches the store after `delay`, whatever its
+  // sender has been told.
+  void SubmitLate(const std::string& id, const submission& in, millis delay);
+  // Cancels a job that may not have been stored. Tells nobody of it but by rows
+  // in the store.
+  void CancelEarly(const std::string& id);
   void Advance(millis time);
 
   void SetFaults(const faults& in) { faults_ = in; }
@@ -179,6 +185,7 @@
   std::multimap<millis, std::function<void()>> scheduled_;
   std::map<std::string, submission> jobs_;
   std::map<std::string, millis> cancelled_at_;
+  std::map<std::string, millis> absent_cancelled_at_;  // by CancelEarly
   std::map<task_key, std::set<std::string>> running_;  // VMs by task
   std::map<std::string, int> running_on_;              // tasks by VM
   std::set<task_key> done_;                            // by an acknowledged end
