Keep sums of demands, durations and due times from outside in range

What callers saw: the coordinator's gateway had just been killed, a job that asks for 2^63-1 millicores was accepted, and its task was started on a worker of 16 cores.

Cause: HasRoom added reservations and demand as 64-bit numbers. The sum overflowed, was negative and fit everywhere. The check against the largest VM needs 10 s of reports.

At hand-in, numbers that are negative or out of range get 400, negative intervals, targets and due times included, which got 200. Numbers of stored jobs, heartbeats and reports are brought into range when they are read, so sums of reservations are exact.

--- a/include/chiveglade/core/clock.h
+++ b/include/chiveglade/core/clock.h
@@ -2,13 +2,27 @@
 #ifndef CHIVEGLADE_CORE_CLOCK_H_
 #define CHIVEGLADE_CORE_CLOCK_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace chiveglade {
 
 using millis = std::chrono::milliseconds;
 
+// Longest duration that is accepted from outside, and latest time since 1970:
+// about 1,000 years. The sum of as many as a job has steps is exact.
+constexpr millis kMaxDuration{int64_t{31'536'000'000'000}};
+
+// True if a duration from outside is one.
+constexpr bool IsDuration(millis in) {
+  return in >= millis(0) && in <= kMaxDuration;
+}
+constexpr millis ClampDuration(millis in) {
+  return std::clamp(in, millis(0), kMaxDuration);
+}
+
 // The system clock CLOCK_BOOTTIME. Comparable only on the VM that read it.
 struct boot_clock {
   using duration = millis;
--- a/include/chiveglade/workflow/job.h
+++ b/include/chiveglade/workflow/job.h
@@ -56,15 +56,25 @@
   friend bool operator==(const job_spec&, const job_spec&) = default;
 };
 
+// Returns when an occurrence is due, in milliseconds since 1970; 0 for a job
+// that runs once.
+int64_t DueUnixMs(const repetition& in, uint32_t occurrence);
+
 // Maximum number of tasks of a job, over all steps and occurrences. Keeps the
 // durable record of a job within one table row.
 constexpr uint32_t kMaxTasksPerJob = 1'000;
 
 // Fails with "bad_job" for a job without steps, a step without tasks, a
-// dependency on a step that is not earlier, a negative demand or estimate, or
-// more than kMaxTasksPerJob tasks.
+// dependency on a step that is not earlier, a demand, duration or due time
+// that is negative or above kMaxAmount or kMaxDuration, or more than
+// kMaxTasksPerJob tasks.
 result<done> CheckJob(const job_spec& job);
 
+// Brings demands, durations and due times into the range that CheckJob accepts.
+// For stored jobs, which earlier versions did not check. A demand that no VM
+// has remains one.
+void ClampNumbers(job_spec& job);
+
 // An accepted job as it is stored. Contains a copy of the queue's policy, which
 // applies if the queue is removed from the catalogue before the job ends.
 struct submission {
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -32,9 +32,9 @@
     for (const uint32_t earlier : job.steps[i].after) {
       start = std::max(start, until[earlier]);
     }
-    until[i] =
-        start + (job.steps[i].estimate.count() > 0 ? job.steps[i].estimate
-                                                   : kDefaultEstimate);
+    until[i] = SaturatingAdd(start, job.steps[i].estimate.count() > 0
+                                        ? job.steps[i].estimate
+                                        : kDefaultEstimate);
     longest = std::max(longest, until[i]);
   }
   return longest;
@@ -77,12 +77,10 @@
     job.priority = policy->priority;
     job.service = policy->service;
     job.needs_tickets = policy->needs_tickets;
-    allowed =
-        policy->latency_target +
-        millis(static_cast<int64_t>(policy->objective_factor *
-                                    static_cast<double>(allowed.count())));
+    allowed = SaturatingAdd(policy->latency_target,
+                            ScaleDuration(allowed, policy->objective_factor));
   }
-  job.objective = job.accepted_at + allowed;
+  job.objective = job.accepted_at + ClampDuration(allowed);
 }
 
 void coordinator::state::MarkDirty(job_state& job, uint32_t row) {
@@ -253,8 +251,8 @@
   job->priority = in.priority;
   job->attempts = std::max(1U, in.attempts);
   const millis age(
-      std::clamp<int64_t>(now_unix_ms - in.accepted_unix_ms, 0,
-                          state_->options.ended_job_retention.count()));
+      std::clamp<int64_t>(SaturatingSubtract(now_unix_ms, in.accepted_unix_ms),
+                          0, state_->options.ended_job_retention.count()));
   job->accepted_at = now - age;
   job->idle_since = now;
   state_->ApplyPolicy(*job);
@@ -329,7 +327,7 @@
                               boot_time now,
                               int64_t now_unix_ms) {
   const millis age(
-      std::clamp<int64_t>(now_unix_ms - in.ended_unix_ms, 0,
+      std::clamp<int64_t>(SaturatingSubtract(now_unix_ms, in.ended_unix_ms), 0,
                           state_->options.ended_job_retention.count()));
   state_->AddEnded(id, {in.phase, now - age});
 }
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -132,14 +132,8 @@
 }
 
 void coordinator::state::PlaceJob(job_state& job, placement_pass& pass) {
-  const auto& repeat = job.in.job.repeat;
   for (uint32_t k = 0; k < job.record.tasks.size(); ++k) {
-    const int64_t due =
-        repeat.occurrences == 0
-            ? 0
-            : repeat.first_unix_ms +
-                  static_cast<int64_t>(k) * repeat.interval.count();
-    if (pass.now_unix_ms < due) {
+    if (pass.now_unix_ms < DueUnixMs(job.in.job.repeat, k)) {
       return;
     }
     for (uint32_t s = 0; s < job.in.job.steps.size(); ++s) {
--- a/src/workflow/coordinator_waiting.cc
+++ b/src/workflow/coordinator_waiting.cc
@@ -24,9 +24,7 @@
 }
 
 resources Times(const resources& in, size_t by) {
-  const auto factor = static_cast<int64_t>(by);
-  return {in.millicores * factor, in.memory_mib * factor,
-          in.accelerators * factor};
+  return in * static_cast<int64_t>(by);
 }
 
 // Returns how many tasks of a step the VMs of a rack hold when nothing else
@@ -96,10 +94,8 @@
                                         const step_spec& step) {
   uint64_t out = 0;
   for (const auto* vm : CachedAvailableVms(pass, service)) {
-    rack_vms::shape shape{vm->load.capacity, vm->load.labels, 1};
-    shape.capacity.millicores -= vm->load.reserved.millicores;
-    shape.capacity.memory_mib -= vm->load.reserved.memory_mib;
-    shape.capacity.accelerators -= vm->load.reserved.accelerators;
+    rack_vms::shape shape{vm->load.capacity - vm->load.reserved,
+                          vm->load.labels, 1};
     out += PlacesFor(rack_vms{{std::move(shape)}}, step);
   }
   return out;
--- a/src/workflow/job.cc
+++ b/src/workflow/job.cc
@@ -16,9 +16,11 @@
   if (step.count == 0) {
     return BadJob(name + " has no tasks");
   }
-  if (step.demand.millicores < 0 || step.demand.memory_mib < 0 ||
-      step.demand.accelerators < 0 || step.estimate.count() < 0) {
-    return BadJob(name + " has a negative demand");
+  if (!AreAmounts(step.demand)) {
+    return BadJob(name + " has a demand that is negative or too large");
+  }
+  if (!IsDuration(step.estimate) || !IsDuration(step.latency_target)) {
+    return BadJob(name + " has a duration that is negative or too long");
   }
   for (const uint32_t earlier : step.after) {
     if (earlier >= number) {
@@ -30,10 +32,33 @@
 
 }  // namespace
 
+int64_t DueUnixMs(const repetition& in, uint32_t occurrence) {
+  if (in.occurrences == 0) {
+    return 0;
+  }
+  return SaturatingAdd(in.first_unix_ms,
+                       SaturatingMultiply(occurrence, in.interval.count()));
+}
+
+void ClampNumbers(job_spec& job) {
+  for (auto& step : job.steps) {
+    step.demand = ClampAmounts(step.demand);
+    step.estimate = ClampDuration(step.estimate);
+    step.latency_target = ClampDuration(step.latency_target);
+  }
+  auto& repeat = job.repeat;
+  repeat.first_unix_ms = ClampDuration(millis(repeat.first_unix_ms)).count();
+  repeat.interval = ClampDuration(repeat.interval);
+}
+
 result<done> CheckJob(const job_spec& job) {
   if (job.steps.empty()) {
     return BadJob("a job needs at least one step");
   }
+  if (!IsDuration(millis(job.repeat.first_unix_ms)) ||
+      !IsDuration(job.repeat.interval)) {
+    return BadJob("a due time or interval is negative or too large");
+  }
   uint64_t tasks = 0;
   for (size_t i = 0; i < job.steps.size(); ++i) {
     if (auto checked = CheckStep(job.steps[i], i); !checked) {
--- a/src/workflow/job_order.cc
+++ b/src/workflow/job_order.cc
@@ -29,10 +29,10 @@
       if (step.long_running || done_tasks[s] >= step.count) {
         continue;
       }
-      ends[s] += step.estimate;
+      ends[s] = SaturatingAdd(ends[s], step.estimate);
       out.critical_path = std::max(out.critical_path, ends[s]);
       out.core_seconds +=
-          (step.count - done_tasks[s]) *
+          static_cast<double>(step.count - done_tasks[s]) *
           static_cast<double>(step.demand.millicores) / kMillicoresPerCore *
           static_cast<double>(step.estimate.count()) / kMillisPerSecond;
     }
--- a/src/workflow/job_record.cc
+++ b/src/workflow/job_record.cc
@@ -220,6 +220,7 @@
   out.job.repeat.occurrences = in.Int<uint32_t>();
   out.job.repeat.first_unix_ms = in.Int<int64_t>();
   out.job.repeat.interval = in.Millis();
+  ClampNumbers(out.job);
   if (!in.Finished() || format != kSubmissionVersion || !CheckJob(out.job)) {
     return reason{"corrupt", "a submission has the wrong fields"};
   }
--- a/src/workflow/message.cc
+++ b/src/workflow/message.cc
@@ -137,7 +137,7 @@
     out.data_centre = in.Text();
     out.rack = in.Text();
     out.labels = in.Texts();
-    out.capacity = in.Resources();
+    out.capacity = ClampAmounts(in.Resources());
     out.remaining = in.Millis();
     out.omits_runs = in.Bool();
     out.complete = in.Bool();
--- a/src/workflow/placement_wait.cc
+++ b/src/workflow/placement_wait.cc
@@ -92,7 +92,7 @@
   std::vector<millis> out(job.steps.size(), millis(0));
   // A step depends on earlier ones only.
   for (size_t i = job.steps.size(); i-- > 0;) {
-    const auto path = out[i] + EstimateOf(job.steps[i]);
+    const auto path = SaturatingAdd(out[i], EstimateOf(job.steps[i]));
     for (const uint32_t earlier : job.steps[i].after) {
       out[earlier] = std::max(out[earlier], path);
     }
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -66,6 +66,32 @@
   CHECK(second.best_effort);
 }
 
+// Regression, review/15: such jobs were accepted and their sums overflowed.
+TEST_CASE("jobs with numbers out of range are rejected") {
+  const auto decode = [](const std::string& job, const std::string& step) {
+    return DecodeJob(R"({"spec":"s",)" + job + R"("steps":[{"count":1)" + step +
+                     "}]}");
+  };
+  CHECK(decode("", ""));
+  CHECK(decode(R"("repeat_count":2,"start_at_ms":1,"interval_ms":1,)",
+               R"(,"cpu":1000000,"estimate_ms":31536000000)"));
+  for (const char* number : {"9223372036854775807", "-9223372036854775808",
+                             "-1", "4611686018427387904"}) {
+    CAPTURE(number);
+    for (const char* field :
+         {"cpu", "mem_mb", "gpu", "estimate_ms", "target_ms"}) {
+      CAPTURE(field);
+      CHECK_FALSE(decode("", std::string(",\"") + field + "\":" + number));
+    }
+    for (const char* field : {"interval_ms", "start_at_ms"}) {
+      CAPTURE(field);
+      CHECK_FALSE(decode(
+          std::string("\"repeat_count\":3,\"") + field + "\":" + number + ",",
+          ""));
+    }
+  }
+}
+
 TEST_CASE("malformed job bodies are rejected") {
   for (const char* body :
        {"", "[]", "{", "{}", R"({"steps":5})", R"({"steps":[]})",
--- a/tests/workflow/codec_test.cc
+++ b/tests/workflow/codec_test.cc
@@ -1,6 +1,8 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 #include "chiveglade/workflow/fenced_writer.h"
 #include "chiveglade/workflow/job_record.h"
 #include "chiveglade/workflow/job_rows.h"
@@ -84,6 +86,37 @@
   CHECK(read == record);
 }
 
+// Guards against sums that overflow for jobs that an earlier version accepted,
+// and against losing these jobs because their rows are rejected.
+TEST_CASE("extreme numbers of a stored job are brought into range") {
+  const int64_t number = GENERATE(std::numeric_limits<int64_t>::max(),
+                                  std::numeric_limits<int64_t>::min());
+  auto in = MakeSubmission({MakeStep(2)});
+  auto& step = in.job.steps[0];
+  step.demand = {number, number, number};
+  step.estimate = step.latency_target = millis(number);
+  in.job.repeat = {3, number, millis(number)};
+  in.accepted_unix_ms = number;
+  REQUIRE_FALSE(CheckJob(in.job));
+  const auto out = DecodeSubmission(EncodeSubmission(in));
+  REQUIRE(out);
+  CHECK(CheckJob(out->job));
+  CHECK(out->job.steps[0].demand ==
+        (number > 0 ? resources{kMaxAmount, kMaxAmount, kMaxAmount}
+                    : resources{}));
+  CHECK(out->job.steps[0].estimate == (number > 0 ? kMaxDuration : millis(0)));
+}
+
+// Guards against an occurrence that is due at once because its time overflowed.
+TEST_CASE("the due time of an occurrence does not overflow") {
+  CHECK(DueUnixMs({}, 3) == 0);
+  CHECK(DueUnixMs({4, 1'000, millis(50)}, 3) == 1'150);
+  CHECK(DueUnixMs({4, 1'000, millis::max()}, 3) ==
+        std::numeric_limits<int64_t>::max());
+  CHECK(DueUnixMs({4, std::numeric_limits<int64_t>::max(), millis(1)}, 1) ==
+        std::numeric_limits<int64_t>::max());
+}
+
 TEST_CASE("progress is divided into rows of tasks over all occurrences") {
   auto in = MakeSubmission({MakeStep(20), MakeStep(3)});
   in.job.repeat.occurrences = 3;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -334,6 +335,32 @@
   CHECK(world.Starts().size() == 1);
 }
 
+// Regression, review/15: a VM with a task of the largest demand counted as
+// empty, and 36 tasks of one core ran on 16.
+TEST_CASE("a task that asks for more than any VM has does not start") {
+  coordinator_fixture f;
+  (void)f.Report(f.MakeReport("vm"));
+  f.AddJob("first", MakeSubmission({MakeStep(1)}));
+  REQUIRE(f.Starts().size() == 1);
+  const int64_t most = std::numeric_limits<int64_t>::max();
+  auto hopeless = MakeStep(1);
+  hopeless.demand = GENERATE_COPY(resources{most, 1, 0}, resources{1, most, 0},
+                                  resources{1, 1, most},
+                                  resources{most - 500, most - 500, 0});
+  hopeless.best_effort = GENERATE(false, true);
+  hopeless.estimate = GENERATE_COPY(millis(1'000), millis(most));
+  if (hopeless.best_effort) {
+    hopeless.demand.memory_mib = most;
+  }
+  f.AddJob("hopeless", MakeSubmission({hopeless, hopeless}));
+  f.AddJob("many", MakeSubmission({MakeStep(40)}));
+  const auto starts = f.Starts();
+  CHECK(starts.size() == 15);
+  CHECK(std::all_of(starts.begin(), starts.end(), [](const auto& start) {
+    return start.run.task.job == "many";
+  }));
+}
+
 TEST_CASE("tasks without demand do not start in any number on one VM") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
+#include <iterator>
+#include <limits>
 
 #include "tests/workflow/fixture.h"
 #include "tests/workflow/workflow_world.h"
@@ -289,6 +291,40 @@
   CheckCompletes(world);
 }
 
+// Jobs with the largest numbers that a message holds, before any VM has been
+// heard and among ordinary jobs, while coordinators change.
+void RunExtremeNumbers(int seed) {
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'021);
+  const auto large = [&pick] {
+    constexpr int64_t kMost = std::numeric_limits<int64_t>::max();
+    const int64_t near[] = {kMost, kMost - 1'000, kMost / 2 + 1};
+    return near[pick(std::size(near))];
+  };
+  for (int i = 0; i < 12; ++i) {
+    auto hopeless = MakeStep(1 + pick(3));
+    // One of the demands exceeds every VM.
+    const auto most = std::numeric_limits<int64_t>::max() - 500 * pick(3);
+    (pick(2) == 0 ? hopeless.demand.memory_mib : hopeless.demand.accelerators) =
+        most;
+    hopeless.demand.millicores = pick(2) == 0 ? most : 1'000;
+    hopeless.best_effort = pick(3) == 0;
+    hopeless.estimate = millis(large());
+    auto job = MakeSubmission({hopeless});
+    job.accepted_unix_ms = pick(2) == 0 ? large() : -large();
+    world.Submit(workflow_world::kHopelessJob + std::to_string(i), job);
+    auto ordinary = MakeSubmission({MakeStep(4)});
+    ordinary.job.steps[0].estimate = millis(large());
+    ordinary.accepted_unix_ms = job.accepted_unix_ms;
+    world.Submit("job" + std::to_string(i), ordinary);
+    world.Advance(millis(50 + 50 * pick(20)));
+    if (pick(4) == 0) {
+      world.RestartGateway(pick(kGateways));
+    }
+  }
+  CheckCompletes(world);
+}
+
 // Returns a number from the environment.
 int Setting(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -593,6 +629,14 @@
   }
 }
 
+// Regression, review/15: the sum of a VM's reservations overflowed, and any
+// number of tasks started on it.
+TEST_CASE("extreme numbers of jobs harm no other job") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunExtremeNumbers(seed);
+}
+
 // Run by hand, with more late messages: SOAK_FIRST and SOAK_LAST are the seeds.
 TEST_CASE("soak: all kinds of faults together", "[.soak]") {
   const int last = Setting("SOAK_LAST", 2'000);
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -36,6 +36,8 @@
   static constexpr char kFillingJob[] = "filling";
   // The tasks of jobs whose IDs begin so are gangs and save their progress.
   static constexpr char kGangJob[] = "gang";
+  // The tasks of jobs whose IDs begin so ask for more than any VM has.
+  static constexpr char kHopelessJob[] = "hopeless";
   // A long-running task whose run has ended runs again within this: 6 s of
   // lease and 3 s.
   static constexpr millis kMaxRestartTime{9'000};
