--- a/src/app/job_front.cc
+++ b/src/app/job_front.cc
@@ -361,13 +361,13 @@
         kRetryAfterSeconds, yield);
   }
   bool may_be_stored = false;
-  auto out = Store(in, std::move(job->row), may_be_stored, yield);
+  auto out = Store(in, job->row, may_be_stored, yield);
   admission_.Finish(job->bytes, may_be_stored, hooks_.clock());
   return out;
 }
 
 net::http_reply job_front::Store(const call& in,
-                                 std::string row,
+                                 const std::string& row,
                                  bool& may_be_stored,
                                  const net::yield& yield) {
   uint64_t cancellation = 0;  // version of one that the job replaces
--- a/src/app/job_front.h
+++ b/src/app/job_front.h
@@ -109,7 +109,7 @@
   result<encoded_job> EncodeJob(const call& in, const std::string& body) const;
   // Writes the row of a job; `may_be_stored` says whether it may be there.
   net::http_reply Store(const call& in,
-                        std::string row,
+                        const std::string& row,
                         bool& may_be_stored,
                         const net::yield& yield);
   // Asks the coordinator about a queue, unless it has answered lately.
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -83,6 +83,14 @@
   job.objective = job.accepted_at + ClampDuration(allowed);
 }
 
+void coordinator::state::NoteBegun(job_state& job,
+                                   const char* why,
+                                   const std::string& vm) const {
+  if (!std::exchange(job.begun, true)) {
+    Log("job_begun", {{"job", job.id}, {"reason", why}, {"vm", vm}});
+  }
+}
+
 void coordinator::state::MarkDirty(job_state& job, uint32_t row) {
   job.dirty_rows.insert(row);
   dirty.insert(job.id);
--- a/src/workflow/coordinator_runs.cc
+++ b/src/workflow/coordinator_runs.cc
@@ -116,8 +116,9 @@
                     {"asked", was_stopping ? "yes" : "no"}});
   const bool long_running = StepOf(*job, run.task).long_running;
   // A refused run has not begun. One that lapsed may never have been listed.
-  job->begun =
-      job->begun || (how != run_result::kRefused && how != run_result::kLapsed);
+  if (how != run_result::kRefused && how != run_result::kLapsed) {
+    NoteBegun(*job, ToString(how), vm.name);
+  }
   switch (how) {
     case run_result::kDone:
       ++counters.done;
@@ -165,7 +166,7 @@
                         {"run", std::to_string(run.run)},
                         {"vm", vm.name}});
   ++counters.done;
-  job->begun = true;
+  NoteBegun(*job, "done_late", vm.name);
   MarkDirty(*job, ProgressRowOf(job->record, run.task));
   OnTaskDone(*job, *task, run, now);
 }
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -243,6 +243,8 @@
   task_record* FindTask(job_state& job, const task_key& task);
   const step_spec& StepOf(const job_state& job, const task_key& task) const;
   void ApplyPolicy(job_state& job) const;
+  // A task of the job is known to have begun; logged the first time.
+  void NoteBegun(job_state& job, const char* why, const std::string& vm) const;
   // Marks a row of the job's progress as one to write.
   void MarkDirty(job_state& job, uint32_t row);
   // Adds the rows of a job to the batch unless they would make it too large.
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -214,7 +214,7 @@
     }
     hosted.started = status.started;
     if (auto* job = status.started ? FindJob(status.run.task.job) : nullptr) {
-      job->begun = true;
+      NoteBegun(*job, "listed", vm.name);
     }
     hosted.percent = status.percent;
     hosted.pace = status.pace;
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -726,6 +726,13 @@
 // VM and had not begun were not counted.
 TEST_CASE("a job is pending until one of its tasks has begun") {
   coordinator_fixture world;
+  std::vector<std::string> begun;
+  world.log = [&begun](const std::string& event, const auto& fields) {
+    if (event == "job_begun") {
+      begun.push_back(fields[1].second);
+    }
+  };
+  world.Restart(1);
   world.ReportRunning("vm", {});
   world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
   CHECK(world.core->PendingJobCount(kQueue) == 1);
@@ -734,6 +741,7 @@
   SECTION("its run is listed") {
     world.ReportRunning("vm", {Run(0, 0)});
     CHECK(world.core->PendingJobCount(kQueue) == 0);
+    CHECK(begun == std::vector<std::string>{"listed"});
     SECTION("and is lost") {
       world.now += millis(60'000);
       world.Tick();
@@ -743,6 +751,7 @@
   SECTION("its run has ended before it was listed") {
     world.ReportEnd("vm", 1, Run(0, 0), run_result::kFailed);
     CHECK(world.core->PendingJobCount(kQueue) == 0);
+    CHECK(begun == std::vector<std::string>{"failed"});
   }
   SECTION("its start is refused") {
     auto in = world.MakeReport("vm");
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -304,10 +304,9 @@
   for (int i = 0; i < 12; ++i) {
     auto hopeless = MakeStep(1 + pick(3));
     // One of the demands exceeds every VM.
-    const auto most = std::numeric_limits<int64_t>::max() - 500 * pick(3);
     (pick(2) == 0 ? hopeless.demand.memory_mib : hopeless.demand.accelerators) =
-        most;
-    hopeless.demand.millicores = pick(2) == 0 ? most : 1'000;
+        large();
+    hopeless.demand.millicores = pick(2) == 0 ? large() : 1'000;
     hopeless.best_effort = pick(3) == 0;
     hopeless.estimate = millis(large());
     auto job = MakeSubmission({hopeless});
