Report jobs that stay idle and what they wait for

job_idle, once a second, names a job of which no worker has listed a run for 3 s although a task could run, and what is missing: news, a VM, the commit of the placement, an answer of the runner, an effect in its reports, or the worker. chiveglade_jobs_idle counts them by reason.

The coordinator learns when a runner answers calls again, and a call that a process sent as an earlier leader no longer counts for a later one.

--- a/include/chiveglade/workflow/coordinator.h
+++ b/include/chiveglade/workflow/coordinator.h
@@ -92,6 +92,18 @@
   friend bool operator==(const job_view&, const job_view&) = default;
 };
 
+// Why no worker lists a run of a task that could run.
+enum class idle_reason : uint8_t {
+  kUninformed,   // what is known of jobs and operators is too old
+  kNotPlaced,    // it waits for a VM
+  kNotStored,    // its placement is not durable
+  kUndelivered,  // the runner does not answer the calls with its order
+  kUnconfirmed,  // reports do not show the effect of its order
+  kNotStarted,   // the runner has its order
+};
+constexpr size_t kIdleReasons = 6;
+const char* ToString(idle_reason in);
+
 // Totals since this leader took over, for metrics.
 struct coordinator_counters {
   uint64_t starts = 0;
@@ -105,6 +117,9 @@
   // VMs without a place for a best-effort step that waits, by placement_limit;
   // counted once per kWaitReportInterval and step.
   std::array<uint64_t, 5> vms_refused{};
+  // Jobs with a task that could run, of which no worker lists a run, by
+  // idle_reason; as of the last check.
+  std::array<uint64_t, kIdleReasons> jobs_idle{};
   // What is booked as the own load of serving tasks, by own_load_condition:
   // samples, and the sum of their latency ratios.
   std::array<uint64_t, 3> own_load_samples{};
@@ -200,7 +215,9 @@
   std::vector<addressed_orders> TakeOrders(boot_time now);
   // Reports that orders did not reach the runner. They are sent again after its
   // next report.
-  void OnOrdersNotDelivered(const std::string& vm);
+  void OnOrdersNotDelivered(const std::string& vm, boot_time now);
+  // Reports that the runner has answered a call with orders.
+  void OnOrdersDelivered(const std::string& vm);
 
   // What was learned of interference, for later coordinators.
   std::vector<learned_pair> ExportInterference(int64_t now_unix_ms) const;
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -747,14 +747,19 @@
     const workflow::coordinator::addressed_orders& next) {
   net::asio::spawn(
       on_,
-      [this, vm = next.vm, address = next.address,
+      [this, vm = next.vm, address = next.address, epoch = next.message.epoch,
        body = workflow::Encode(next.message)](const net::yield& yield) {
         const auto reply =
             CallPeer(peers_, address, kOrdersPath, body, kOrdersTimeout, yield);
-        if (!reply && coordinator_) {
+        if (!coordinator_ || leader_.epoch != epoch) {
+          return;
+        }
+        if (reply) {
+          coordinator_->OnOrdersDelivered(vm);
+        } else {
           hooks_.log("orders_lost",
                      {{"vm", vm}, {"reason", reply.last_reason().code}});
-          coordinator_->OnOrdersNotDelivered(vm);
+          coordinator_->OnOrdersNotDelivered(vm, hooks_.clock());
         }
       },
       net::asio::detached);
@@ -796,6 +801,11 @@
         "chiveglade_vms_refused", {{"reason", reason}},
         static_cast<double>(counters.vms_refused[static_cast<size_t>(limit)]));
   }
+  for (size_t i = 0; i < counters.jobs_idle.size(); ++i) {
+    metrics_.Set("chiveglade_jobs_idle",
+                 {{"reason", ToString(static_cast<workflow::idle_reason>(i))}},
+                 static_cast<double>(counters.jobs_idle[i]));
+  }
   for (const auto& [condition, at] :
        {std::pair{"alone", workflow::own_load_condition::kAlone},
         {"beside", workflow::own_load_condition::kBeside},
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -165,6 +165,12 @@
        "VMs that could not take a best-effort step that waits, counted about "
        "once a second and step. `latency`: the serving tasks have no slack at "
        "present; `peak_latency`: none at their recent peak."},
+      {"chiveglade_jobs_idle",
+       kind::kGauge,
+       {"reason"},
+       "Jobs with a task that could run, of which no worker has listed a run "
+       "for 3 s. Alert if `undelivered`, `unconfirmed`, `not_stored` or "
+       "`uninformed` stays above 0."},
       {"chiveglade_own_load_samples",
        kind::kGauge,
        {"condition"},
--- a/src/workflow/coordinator.cc
+++ b/src/workflow/coordinator.cc
@@ -263,6 +263,7 @@
                           0, state_->options.ended_job_retention.count()));
   job->accepted_at = now - age;
   job->idle_since = now;
+  job->listed_at = now;
   state_->ApplyPolicy(*job);
   job->retry_at.assign(in.job.steps.size(), boot_time{});
   auto& added = *job;
@@ -539,6 +540,7 @@
     state_->runs_checked_at = now;
     state_->StopHungRuns(now);
   }
+  state_->ReportIdleJobs(now);
   if (state_->has_catalogue) {
     state_->Place(now, now_unix_ms);
     if (check) {
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -38,6 +39,8 @@
   boot_time move_considered_at{};  // last search for a faster VM
   boot_time last_order_at{};       // zero: an order must be sent
   boot_time last_progress_at{};    // moves on too while throttled
+  uint32_t orders_sent = 0;        // starts and stops
+  bool known_to_runner = false;    // was in a report
   // As last reported; see run_status.
   uint32_t percent = 0;
   uint32_t pace = 100;
@@ -79,6 +82,9 @@
   resources reserved;
   int64_t best_effort_millicores = 0;
   int64_t serving_millicores = 0;
+  // First call with orders that failed since the last one that was answered;
+  // zero: none.
+  boot_time orders_failing_since{};
   boot_time learned_at{};      // when `sample` was taken
   interference_sample sample;  // last sample that the model learned from
   // The runner may lack weights that it needs, and those it was sent last.
@@ -174,6 +180,8 @@
   bool begun = false;
   uint32_t live_runs = 0;  // of all its tasks
   boot_time idle_since{};  // while there are none
+  // When a worker last listed a run of it, or no task could run.
+  boot_time listed_at{};
   // Number of done tasks by occurrence and step.
   std::vector<std::vector<uint32_t>> done_task_counts;
   std::vector<boot_time> retry_at;  // by step: earliest next start
@@ -219,6 +227,7 @@
   boot_time placed_at{};      // time of the last pass
   int64_t placed_unix_ms = 0;
   boot_time runs_checked_at{};     // last check for hung runs
+  boot_time idle_checked_at{};     // last check for idle jobs
   std::set<std::string> dirty;     // ids of jobs with progress to write
   std::vector<std::string> batch;  // ids of the jobs in the current batch
   // Rows of progress to delete, and those that the current batch deletes.
@@ -328,6 +337,15 @@
   void ApplyRuns(vm_state& vm, const report& in, boot_time now);
   void ExpireVms(boot_time now);
   void StopHungRuns(boot_time now);
+  // Logs and counts the jobs with tasks that could run and nothing that a
+  // worker lists.
+  void ReportIdleJobs(boot_time now);
+  // Returns a task of the job that could run; null if there is none.
+  std::optional<task_key> FindReadyTask(const job_state& job,
+                                        boot_time now) const;
+  idle_reason WhyIdle(const task_record& task,
+                      const task_key& key,
+                      boot_time now) const;
   // Returns the headroom that the best-effort tasks of a VM take of serving
   // tasks of this image, by the model.
   double BestEffortImpact(const vm_state& vm,
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -222,6 +222,7 @@
       hosted.last_progress_at = now;
     }
     hosted.started = status.started;
+    hosted.known_to_runner = true;
     if (auto* job = status.started ? FindJob(status.run.task.job) : nullptr) {
       NoteBegun(*job, "listed", vm.name);
     }
@@ -517,6 +518,7 @@
       continue;
     }
     hosted.last_order_at = now;
+    ++hosted.orders_sent;
   }
   for (auto& [run, sent] : vm.unwanted_runs) {
     if (now - sent > options.order_resend_timeout) {
@@ -562,11 +564,20 @@
   return out;
 }
 
-void coordinator::OnOrdersNotDelivered(const std::string& vm) {
+void coordinator::OnOrdersDelivered(const std::string& vm) {
+  if (const auto at = state_->vms.find(vm); at != state_->vms.end()) {
+    at->second.orders_failing_since = {};
+  }
+}
+
+void coordinator::OnOrdersNotDelivered(const std::string& vm, boot_time now) {
   const auto at = state_->vms.find(vm);
   if (at == state_->vms.end()) {
     return;
   }
+  if (at->second.orders_failing_since == boot_time{}) {
+    at->second.orders_failing_since = now;
+  }
   if (state_->options.keep_interference && !at->second.weights_sent.empty()) {
     // Sent again after the next report.
     at->second.weights_sent.clear();
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -1223,7 +1223,7 @@
   check(kTasks, 0);
   check(0, 0);
   // A message that did not arrive is sent again after the next report.
-  world.core->OnOrdersNotDelivered("vm");
+  world.core->OnOrdersNotDelivered("vm", world.now);
   world.now += millis(100);
   world.ReportRunning("vm", {Run(0, 0)});
   check(kTasks - 1, 0);
@@ -1385,7 +1385,7 @@
     CHECK(weights() == expected);
   }
   SECTION("orders that were lost") {
-    world.core->OnOrdersNotDelivered(vm);
+    world.core->OnOrdersNotDelivered(vm, world.now);
     CHECK(weights().empty());
     report("life");
     CHECK(weights() == expected);
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -606,7 +606,7 @@
     };
     if (runner.partitioned ||
         !Send([&](millis delay) { ScheduleAt(runner, delay, deliver); })) {
-      on.core->OnOrdersNotDelivered(next.vm);
+      on.core->OnOrdersNotDelivered(next.vm, At(time_));
     }
   }
 }
