Give up starts that their runner does not receive

The users' log has orders_lost for one VM at each of its reports.

Cause: that reports of a VM arrive was taken as evidence for all paths to it. Starts that did not arrive were sent again with each report, which also renewed the lease of the VM, so their runs neither started nor expired, and the VM went on getting tasks. The class of fault: a wait for an answer without a bound, and liveness on one path taken for liveness on another.

- A start that a runner process does not list expires 2 s after the report that the last order answers; the run is then over.
Starts are repeated for 3 s at most.
If an earlier process of the runner or an earlier leader may have caused a start that is under way, a complete list after the lease is needed.
- A placement that was never sent, because its VM accepts no starts any more, is over after 3 s.
- Orders that calls do not deliver also go with the replies to reports, the path that the grant takes.
So a runner that is granted time also receives stops.
- Reports say which report was answered last.
A VM that receives no replies gets neither starts nor grants.
- Of VMs with room, those whose runners answer calls come first.

The report and its reply have new fields: runners and coordinators of different versions do not understand each other.

Existing cases that count orders also count those in replies, and the fixture's reports carry the VM's clock and what was answered, as runners send them.

--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -82,6 +82,9 @@
   uint64_t sequence = 0;           // ascending within `runner_incarnation`
   int64_t boot_clock_ms = 0;       // the VM's boot clock; orders echo it
   uint64_t epoch = 0;              // epoch of the newest coordinator known
+  // The last report of this process that the coordinator of `epoch` has
+  // answered; 0: none.
+  uint64_t answered = 0;
 
   // worker_heartbeat::incarnation; 0 if unknown.
   int64_t worker_incarnation = 0;
@@ -106,18 +109,8 @@
   friend bool operator==(const report&, const report&) = default;
 };
 
-// The coordinator's reply to a report.
-struct report_reply {
-  uint64_t epoch = 0;
-  // How long all runs on the VM may continue, from the time at which the report
-  // was sent. 0 grants nothing.
-  millis grant{0};
-  // The incarnation whose ends `acknowledged` refers to.
-  int64_t worker_incarnation = 0;
-  uint64_t acknowledged = 0;  // ends up to this number are durably stored
-
-  friend bool operator==(const report_reply&, const report_reply&) = default;
-};
+// How old the lists of a report may be if it is `complete`.
+constexpr millis kMaxListAge{1'500};
 
 struct start_order {
   run_key run;
@@ -150,6 +143,21 @@
   friend bool operator==(const orders&, const orders&) = default;
 };
 
+// The coordinator's reply to a report.
+struct report_reply {
+  uint64_t epoch = 0;
+  // How long all runs on the VM may continue, from the time at which the report
+  // was sent. 0 grants nothing.
+  millis grant{0};
+  // The incarnation whose ends `acknowledged` refers to.
+  int64_t worker_incarnation = 0;
+  uint64_t acknowledged = 0;  // ends up to this number are durably stored
+  // Orders that calls to the runner do not deliver; at most one message.
+  std::vector<orders> undelivered = {};
+
+  friend bool operator==(const report_reply&, const report_reply&) = default;
+};
+
 // Upper bound of orders::valid_for. A delayed order must not start a task that
 // has since been declared ended, nor in a data centre that has since been taken
 // out of service.
--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -221,6 +221,7 @@
   uint64_t epoch_ = 0;
   std::string coordinator_;
   uint64_t sequence_ = 0;
+  uint64_t answered_ = 0;  // last report answered by the coordinator of epoch_
   // report::boot_clock_ms of the first report of this process.
   int64_t first_report_ms_ = INT64_MAX;
 
--- a/src/app/runner_role.cc
+++ b/src/app/runner_role.cc
@@ -360,6 +360,9 @@
   if (reply && reply->status == 200) {
     if (const auto answer = workflow::DecodeReportReply(reply->body)) {
       core->OnReportReply(report, *answer, sent);
+      for (const auto& orders : answer->undelivered) {
+        core->OnOrders(orders, Now());
+      }
       connected = true;
     }
   } else if (reply && reply->status == 409) {
--- a/src/observe/timeline.cc
+++ b/src/observe/timeline.cc
@@ -82,7 +82,7 @@
   std::string waited_for;
   bool hung = false;
   bool moved = false;
-  bool given_up = false;
+  std::string given_up;  // why the start was given up
 };
 
 struct interval {
@@ -174,7 +174,7 @@
     } else if (line.event == "run_moved") {
       RunOf(line).moved = true;
     } else if (line.event == "start_given_up") {
-      RunOf(line).given_up = true;
+      RunOf(line).given_up = line.Find("reason");
     } else if (line.event == "start_answer" &&
                line.Find("outcome") == "no_answer") {
       auto& run = RunOf(line);
@@ -231,9 +231,13 @@
   if (run.hung) {
     return "task_hung";
   }
-  if (run.given_up) {
+  if (run.given_up == "draining" ||
+      run.given_up == "data_centre_out_of_service") {
     return "vm_left";
   }
+  if (!run.given_up.empty()) {
+    return "start_" + run.given_up;
+  }
   if (run.moved) {
     return "throttled";
   }
--- a/src/workflow/coordinator_placing.cc
+++ b/src/workflow/coordinator_placing.cc
@@ -387,7 +387,8 @@
       serving.max_ratio = margin.MaxRatio(serving.image);
     }
   }
-  out.suspect = vm.health.IsSuspect(now);
+  out.suspect =
+      vm.health.IsSuspect(now) || vm.orders_failing_since != boot_time{};
   return out;
 }
 
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -36,11 +36,16 @@
   millis expected_run{0};  // as of its start; 0: unknown
   // When it was last not throttled below kSlowPacePercent.
   boot_time throttled_since{};
-  boot_time move_considered_at{};  // last search for a faster VM
-  boot_time last_order_at{};       // zero: an order must be sent
-  boot_time last_progress_at{};    // moves on too while throttled
-  uint32_t orders_sent = 0;        // starts and stops
-  bool known_to_runner = false;    // was in a report
+  boot_time move_considered_at{};   // last search for a faster VM
+  boot_time last_order_at{};        // zero: an order must be sent
+  boot_time last_progress_at{};     // moves on too while throttled
+  uint32_t orders_sent = 0;         // starts and stops
+  boot_time first_start_sent_at{};  // zero: none by this leader
+  // By the VM's boot clock: when the report was made that the first start
+  // answers, and when the last one expires.
+  int64_t first_start_clock_ms = 0;
+  int64_t starts_expire_ms = 0;
+  bool known_to_runner = false;  // was in a report
   // As last reported; see run_status.
   uint32_t percent = 0;
   uint32_t pace = 100;
@@ -82,6 +87,12 @@
   resources reserved;
   int64_t best_effort_millicores = 0;
   int64_t serving_millicores = 0;
+  // When the first report of the runner's process was made, by the boot clock
+  // of the VM.
+  int64_t runner_since_ms = 0;
+  // Last report that showed that the reply to the one before was received, or
+  // that was the first of the runner's process or after a silence.
+  boot_time reply_received_at{};
   // First call with orders that failed since the last one that was answered;
   // zero: none.
   boot_time orders_failing_since{};
@@ -335,6 +346,18 @@
   // that it names, whichever one they were started for.
   static void MoveRuns(vm_state& vm, const report& in);
   void ApplyRuns(vm_state& vm, const report& in, boot_time now);
+  // Sends orders again that runs in no list may lack, and ends the runs that
+  // cannot start any more.
+  void SettleUnlistedRuns(vm_state& vm,
+                          const report& in,
+                          const std::set<run_key>& listed,
+                          boot_time now);
+  // Returns true if a run that a report does not list is not running and can
+  // no longer start.
+  bool CannotStart(const vm_state& vm,
+                   const hosted_run& hosted,
+                   const report& in,
+                   boot_time now) const;
   void ExpireVms(boot_time now);
   void StopHungRuns(boot_time now);
   // Logs and counts the jobs with tasks that could run and nothing that a
@@ -358,13 +381,17 @@
   // Returns the learned weights that matter on a VM.
   std::vector<pair_weight> WeightsOn(const vm_state& vm) const;
   bool AcceptsStarts(const vm_state& vm, boot_time now) const;
+  // Returns true if a recent report shows that the runner receives the replies
+  // to its reports, and so its grants.
+  bool ReceivesReplies(const vm_state& vm, boot_time now) const;
   // Returns a message to a VM without orders.
   addressed_orders MakeOrders(const vm_state& vm) const;
   start_order MakeStart(const run_key& run, const step_spec& step);
   // Appends the messages with the orders that a VM is to get now; at least one,
-  // which acknowledges ends.
+  // which acknowledges ends, and at most `max_messages`.
   void AppendOrders(vm_state& vm,
                     boot_time now,
+                    size_t max_messages,
                     std::vector<addressed_orders>& out);
   // Whether what is known is recent enough to start tasks by it.
   bool IsInformed(boot_time now) const {
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -24,6 +24,9 @@
 // Orders to a VM that exceed this are divided among several messages. Far below
 // kMaxMessageBytes, so that a slow link delivers each in time.
 constexpr size_t kMaxOrdersBytes = size_t{128} * 1024;
+// A start is sent again for this long; when it has expired, the task is placed
+// anew.
+constexpr millis kMaxStartRetryTime{3'000};
 // An order without its texts, encoded.
 constexpr size_t kOrderBytes = 128;
 constexpr double kMillicoresPerCore = 1'000;
@@ -101,6 +104,8 @@
     vm.ends_applied = vm.ends_durable = vm.ends_batched = 0;
     vm.unwanted_runs.clear();
   }
+  const bool was_silent =
+      now - vm.last_report_at >= state_->options.report_timeout;
   vm.has_reported = true;
   vm.last_report_at = now;
   vm.last_report = in;
@@ -117,7 +122,15 @@
                  {"born", std::to_string(in.worker_incarnation)},
                  {"runs", std::to_string(in.runs.size())}});
   }
+  const bool last_was_answered = in.epoch == state_->options.epoch &&
+                                 in.answered > 0 &&
+                                 in.answered + 1 == in.sequence;
+  if (is_new_runner || was_silent || last_was_answered) {
+    vm.reply_received_at = now;
+  }
   if (is_new_runner) {
+    vm.runner_since_ms = in.boot_clock_ms;
+    vm.orders_failing_since = {};
     // A new runner process does not know the runs of its worker, so all orders
     // are sent again.
     for (auto& [run, hosted] : vm.runs) {
@@ -150,13 +163,24 @@
   }
   const auto age =
       std::chrono::duration_cast<millis>(now - last_commit_sent_at);
-  out.grant = std::max(millis(0), state_->options.lease_duration - age);
+  if (state_->ReceivesReplies(vm, now)) {
+    out.grant = std::max(millis(0), state_->options.lease_duration - age);
+  }
   vm.lease_expires_at =
       std::max(vm.lease_expires_at, now + WithClockMargin(out.grant));
   state_->placement_due = state_->placement_due ||
                           (!accepted_starts && state_->AcceptsStarts(vm, now));
   out.worker_incarnation = in.worker_incarnation;
   out.acknowledged = vm.ends_durable;
+  if (vm.orders_failing_since != boot_time{}) {
+    // Also shows whether calls are answered again.
+    state_->vms_with_orders.insert(in.vm);
+  }
+  if (vm.orders_failing_since != boot_time{} && last_was_answered) {
+    std::vector<addressed_orders> pending;
+    state_->AppendOrders(vm, now, 1, pending);
+    out.undelivered.push_back(std::move(pending.front().message));
+  }
   return out;
 }
 
@@ -238,26 +262,75 @@
       vms_with_orders.insert(vm.name);
     }
   }
-  if (!in.complete || in.epoch != options.epoch) {
-    return;
+  SettleUnlistedRuns(vm, in, listed, now);
+  if (in.complete && in.epoch == options.epoch) {
+    std::erase_if(vm.unwanted_runs, [&](const auto& item) {
+      return !listed.contains(item.first);
+    });
   }
+}
+
+bool coordinator::state::CannotStart(const vm_state& vm,
+                                     const hosted_run& hosted,
+                                     const report& in,
+                                     boot_time now) const {
+  const bool is_restored = hosted.placed_at == boot_time{};
+  if (hosted.first_start_sent_at == boot_time{} && !is_restored) {
+    return now - hosted.placed_at > kMaxStartRetryTime &&
+           !AcceptsStarts(vm, now);
+  }
+  if (in.boot_clock_ms <= hosted.starts_expire_ms) {
+    return false;
+  }
+  // A runner lists each run that it was ordered to start until it is settled.
+  if (!is_restored && !hosted.known_to_runner &&
+      hosted.first_start_clock_ms >= vm.runner_since_ms) {
+    return true;
+  }
+  // An earlier process of the runner may have left a call under way. The worker
+  // carries it out within its lease only.
+  return in.complete &&
+         millis(in.boot_clock_ms) >
+             millis(hosted.starts_expire_ms) +
+                 WithClockMargin(options.lease_duration + kMaxListAge);
+}
+
+void coordinator::state::SettleUnlistedRuns(vm_state& vm,
+                                            const report& in,
+                                            const std::set<run_key>& listed,
+                                            boot_time now) {
+  std::vector<run_key> over;
   // Runs that have not started on a VM that no longer accepts starts are
   // cancelled.
   const bool accepts_no_starts = in.phase == worker_phase::kDraining ||
                                  out_of_service.contains(in.data_centre);
+  // Under another epoch, orders of the leader of that epoch may be on the way.
+  const bool is_current = in.epoch == options.epoch;
   for (auto& [run, hosted] : vm.runs) {
-    if (hosted.durable && !listed.contains(run) &&
-        now - hosted.last_order_at > options.order_resend_timeout) {
-      if (accepts_no_starts && !hosted.started && !hosted.stopping) {
-        Log("start_given_up", {{"task", ToString(run.task)},
-                               {"run", std::to_string(run.run)},
-                               {"vm", vm.name},
-                               {"reason", in.phase == worker_phase::kDraining
-                                              ? "draining"
-                                              : "data_centre_out_of_service"}});
-        StopRun(vm.name, run, now);
-        continue;
-      }
+    const bool is_restored = hosted.placed_at == boot_time{};
+    if (!hosted.durable || listed.contains(run) ||
+        (is_restored && !is_current) ||
+        now - hosted.last_order_at <= options.order_resend_timeout) {
+      continue;
+    }
+    if (hosted.starts_expire_ms == 0 && is_restored) {
+      // The runner takes no orders of earlier leaders any more.
+      hosted.starts_expire_ms = in.boot_clock_ms + kStartValidity.count();
+    }
+    if (in.complete && is_current && accepts_no_starts && !hosted.started &&
+        !hosted.stopping) {
+      Log("start_given_up", {{"task", ToString(run.task)},
+                             {"run", std::to_string(run.run)},
+                             {"vm", vm.name},
+                             {"reason", in.phase == worker_phase::kDraining
+                                            ? "draining"
+                                            : "data_centre_out_of_service"}});
+      StopRun(vm.name, run, now);
+    } else if (CannotStart(vm, hosted, in, now)) {
+      over.push_back(run);
+    } else if (in.complete && is_current &&
+               (hosted.stopping || hosted.first_start_sent_at == boot_time{} ||
+                now - hosted.first_start_sent_at < kMaxStartRetryTime)) {
       // The order was lost or was sent by an earlier leader. Sending it again
       // is safe, because the worker starts each run at most once.
       counters.resent += hosted.last_order_at == boot_time{} ? 0 : 1;
@@ -265,8 +338,18 @@
       vms_with_orders.insert(vm.name);
     }
   }
-  std::erase_if(vm.unwanted_runs,
-                [&](const auto& item) { return !listed.contains(item.first); });
+  for (const auto& run : over) {
+    if (const auto& hosted = vm.runs.at(run); !hosted.stopping) {
+      Log("start_given_up",
+          {{"task", ToString(run.task)},
+           {"run", std::to_string(run.run)},
+           {"vm", vm.name},
+           {"reason", hosted.orders_sent == 0    ? "not_sent"
+                      : ReceivesReplies(vm, now) ? "no_effect"
+                                                 : "undelivered"}});
+    }
+    EndRun(vm, run, run_result::kRefused, "", now);
+  }
 }
 
 double coordinator::state::BestEffortImpact(
@@ -460,9 +543,15 @@
          now - vm.last_report_at < options.report_timeout &&
          now >= vm.starts_paused_until &&
          vm.lease_expires_at - now > kMinLeaseForStart &&
+         ReceivesReplies(vm, now) &&
          !out_of_service.contains(vm.last_report.data_centre);
 }
 
+bool coordinator::state::ReceivesReplies(const vm_state& vm,
+                                         boot_time now) const {
+  return now - vm.reply_received_at < options.report_timeout;
+}
+
 coordinator::addressed_orders coordinator::state::MakeOrders(
     const vm_state& vm) const {
   addressed_orders out{vm.name, vm.last_report.address, {}};
@@ -480,17 +569,24 @@
 
 void coordinator::state::AppendOrders(vm_state& vm,
                                       boot_time now,
+                                      size_t max_messages,
                                       std::vector<addressed_orders>& out) {
   out.push_back(MakeOrders(vm));
+  size_t messages = 1;
   size_t bytes = 0;
-  // Returns the message that has room for an order of this size.
-  const auto message_for = [&](size_t order_bytes) -> orders& {
+  // Returns the message that has room for an order of this size; null if all
+  // are full.
+  const auto message_for = [&](size_t order_bytes) -> orders* {
     if (bytes > 0 && bytes + order_bytes > kMaxOrdersBytes) {
+      if (messages == max_messages) {
+        return nullptr;
+      }
       out.push_back(MakeOrders(vm));
+      ++messages;
       bytes = 0;
     }
     bytes += order_bytes;
-    return out.back().message;
+    return &out.back().message;
   };
   if (std::exchange(vm.weights_due, false)) {
     auto weights = WeightsOn(vm);
@@ -505,15 +601,28 @@
       continue;
     }
     if (hosted.stopping) {
-      message_for(kOrderBytes).stops.push_back(run);
+      auto* message = message_for(kOrderBytes);
+      if (!message) {
+        break;
+      }
+      message->stops.push_back(run);
     } else if (may_start && hosted.step) {
       auto start = MakeStart(run, *hosted.step);
-      auto& message = message_for(kOrderBytes + start.payload.size() +
+      auto* message = message_for(kOrderBytes + start.payload.size() +
                                   start.checkpoint.size() + start.image.size());
-      if (message.starts.empty()) {
-        message.weights = vm.weights_sent = WeightsOn(vm);
+      if (!message) {
+        break;
       }
-      message.starts.push_back(std::move(start));
+      if (message->starts.empty()) {
+        message->weights = vm.weights_sent = WeightsOn(vm);
+      }
+      message->starts.push_back(std::move(start));
+      if (hosted.first_start_sent_at == boot_time{}) {
+        hosted.first_start_sent_at = now;
+        hosted.first_start_clock_ms = message->boot_clock_ms;
+      }
+      hosted.starts_expire_ms =
+          message->boot_clock_ms + message->valid_for.count();
     } else {
       continue;
     }
@@ -522,8 +631,12 @@
   }
   for (auto& [run, sent] : vm.unwanted_runs) {
     if (now - sent > options.order_resend_timeout) {
+      auto* message = message_for(kOrderBytes);
+      if (!message) {
+        break;
+      }
       sent = now;
-      message_for(kOrderBytes).stops.push_back(run);
+      message->stops.push_back(run);
     }
   }
 }
@@ -559,7 +672,7 @@
     if (!informed) {
       state_->vms_with_held_starts.insert(name);
     }
-    state_->AppendOrders(vm, now, out);
+    state_->AppendOrders(vm, now, SIZE_MAX, out);
   }
   return out;
 }
--- a/src/workflow/message.cc
+++ b/src/workflow/message.cc
@@ -66,6 +66,40 @@
   return out;
 }
 
+cbor_array ToCbor(const orders& in) {
+  cbor_array out = Row(in.epoch, in.coordinator, in.worker_incarnation,
+                       in.boot_clock_ms, in.valid_for.count(), in.acknowledged);
+  out.push_back(
+      ToCborList(in.starts, [](const start_order& at) { return ToCbor(at); }));
+  out.push_back(
+      ToCborList(in.stops, [](const run_key& at) { return ToCbor(at); }));
+  out.push_back(ToCborList(in.weights, [](const pair_weight& at) {
+    return Row(at.best_effort_image, at.serving_image,
+               std::lround(at.weight * kWeightScale));
+  }));
+  return out;
+}
+
+orders ReadOrders(cbor_reader& in) {
+  orders out;
+  out.epoch = in.Int<uint64_t>();
+  out.coordinator = in.Text();
+  out.worker_incarnation = in.Int<int64_t>();
+  out.boot_clock_ms = in.Int<int64_t>();
+  out.valid_for = in.Millis();
+  out.acknowledged = in.Int<uint64_t>();
+  out.starts = in.List<start_order>(ReadStart);
+  out.stops = in.List<run_key>(ReadRunFields);
+  out.weights = in.List<pair_weight>([](cbor_reader& at) {
+    pair_weight weight;
+    weight.best_effort_image = at.Text();
+    weight.serving_image = at.Text();
+    weight.weight = at.Int<int32_t>() / kWeightScale;
+    return weight;
+  });
+  return out;
+}
+
 // Parses `bytes` as a CBOR array and converts it with `read`. `what` names the
 // message in errors.
 template <typename T, typename F>
@@ -106,9 +140,9 @@
 
 std::string Encode(const report& in) {
   cbor_array out = Row(in.vm, in.address, in.runner_incarnation, in.sequence,
-                       in.boot_clock_ms, in.epoch, in.worker_incarnation,
-                       static_cast<int>(in.phase), in.instance, in.service,
-                       in.data_centre, in.rack);
+                       in.boot_clock_ms, in.epoch, in.answered,
+                       in.worker_incarnation, static_cast<int>(in.phase),
+                       in.instance, in.service, in.data_centre, in.rack);
   Append(out, state::ToCbor(in.labels), state::ToCbor(in.capacity),
          in.remaining.count(), in.omits_runs, in.complete);
   out.push_back(
@@ -130,6 +164,7 @@
     out.sequence = in.Int<uint64_t>();
     out.boot_clock_ms = in.Int<int64_t>();
     out.epoch = in.Int<uint64_t>();
+    out.answered = in.Int<uint64_t>();
     out.worker_incarnation = in.Int<int64_t>();
     out.phase = in.Enum(worker_phase::kGone);
     out.instance = in.Text();
@@ -154,8 +189,11 @@
 }
 
 std::string Encode(const report_reply& in) {
-  return state::WriteCbor(
-      Row(in.epoch, in.grant.count(), in.worker_incarnation, in.acknowledged));
+  cbor_array out =
+      Row(in.epoch, in.grant.count(), in.worker_incarnation, in.acknowledged);
+  out.push_back(
+      ToCborList(in.undelivered, [](const orders& at) { return ToCbor(at); }));
+  return state::WriteCbor(out);
 }
 
 result<report_reply> DecodeReportReply(std::string_view bytes) {
@@ -165,44 +203,17 @@
     out.grant = in.Millis();
     out.worker_incarnation = in.Int<int64_t>();
     out.acknowledged = in.Int<uint64_t>();
+    out.undelivered = in.List<orders>(ReadOrders);
     return out;
   });
 }
 
 std::string Encode(const orders& in) {
-  cbor_array out = Row(in.epoch, in.coordinator, in.worker_incarnation,
-                       in.boot_clock_ms, in.valid_for.count(), in.acknowledged);
-  out.push_back(
-      ToCborList(in.starts, [](const start_order& at) { return ToCbor(at); }));
-  out.push_back(
-      ToCborList(in.stops, [](const run_key& at) { return ToCbor(at); }));
-  out.push_back(ToCborList(in.weights, [](const pair_weight& at) {
-    return Row(at.best_effort_image, at.serving_image,
-               std::lround(at.weight * kWeightScale));
-  }));
-  return state::WriteCbor(out);
+  return state::WriteCbor(ToCbor(in));
 }
 
 result<orders> DecodeOrders(std::string_view bytes) {
-  return Decode<orders>(bytes, "orders", [](cbor_reader& in) {
-    orders out;
-    out.epoch = in.Int<uint64_t>();
-    out.coordinator = in.Text();
-    out.worker_incarnation = in.Int<int64_t>();
-    out.boot_clock_ms = in.Int<int64_t>();
-    out.valid_for = in.Millis();
-    out.acknowledged = in.Int<uint64_t>();
-    out.starts = in.List<start_order>(ReadStart);
-    out.stops = in.List<run_key>(ReadRunFields);
-    out.weights = in.List<pair_weight>([](cbor_reader& at) {
-      pair_weight weight;
-      weight.best_effort_image = at.Text();
-      weight.serving_image = at.Text();
-      weight.weight = at.Int<int32_t>() / kWeightScale;
-      return weight;
-    });
-    return out;
-  });
+  return Decode<orders>(bytes, "orders", ReadOrders);
 }
 
 }  // namespace chiveglade::workflow
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -105,6 +105,7 @@
     Log("coordinator_adopted",
         {{"epoch", Text(static_cast<int64_t>(epoch))}, {"address", address}});
     epoch_ = epoch;
+    answered_ = 0;
     report_due_ = true;
   }
   if (!address.empty()) {
@@ -707,6 +708,7 @@
       std::chrono::duration_cast<millis>(now.time_since_epoch()).count();
   first_report_ms_ = std::min(first_report_ms_, out.boot_clock_ms);
   out.epoch = epoch_;
+  out.answered = answered_;
   out.worker_incarnation = incarnation_;
   out.instance = heartbeat_.instance;
   out.service = heartbeat_.service;
@@ -721,7 +723,6 @@
               : unknown     ? worker_phase::kUnknown
               : IsLeaving() ? worker_phase::kDraining
                             : worker_phase::kReady;
-  constexpr millis kMaxListAge{1'500};
   out.omits_runs = last_full_report_.epoch == epoch_ &&
                    last_full_report_.worker_incarnation == incarnation_ &&
                    now - last_full_report_.sent_at < kRunListInterval;
@@ -754,6 +755,7 @@
   if (!OnCoordinator(in.epoch, "")) {
     return;
   }
+  answered_ = std::max(answered_, sent_report.sequence);
   if (!sent_report.omits_runs) {
     last_full_report_ = {sent_report.epoch, sent_report.worker_incarnation,
                          sent};
--- a/tests/workflow/coordinator_test.cc
+++ b/tests/workflow/coordinator_test.cc
@@ -420,6 +420,7 @@
        waited += step) {
     CHECK(world.Stops().empty());
     world.now += step;
+    throttled.answered = world.sequence;
     throttled.sequence = ++world.sequence;
     world.Report(throttled);
   }
@@ -440,6 +441,169 @@
   CHECK(world.Starts().size() == 1);
 }
 
+namespace {
+
+// A VM whose runner reports every half second, lists nothing, and is called in
+// vain from the first order on.
+struct unreachable_vm {
+  unreachable_vm(coordinator_fixture& in, std::string name)
+      : world(in), vm(std::move(name)) {}
+
+  // Returns the reply to the next report; `answered` if the runner received the
+  // reply to the last one.
+  report_reply Report(bool answered) {
+    auto in = world.MakeReport(vm);
+    in.runner_incarnation = runner;
+    in.sequence = ++sequence;
+    in.answered = answered ? sequence - 1 : 0;
+    in.complete = complete;
+    in.phase = phase;
+    return world.Report(in);
+  }
+
+  coordinator_fixture& world;
+  std::string vm;
+  std::string runner = "life";
+  uint64_t sequence = 0;
+  bool complete = true;
+  worker_phase phase = worker_phase::kReady;
+};
+
+constexpr millis kReportInterval{500};
+
+// Lets time pass, in steps of a report interval, until a start is sent to
+// `other`; returns how long that took, or nothing after 30 s.
+std::optional<millis> TimeUntilStartOn(coordinator_fixture& world,
+                                       unreachable_vm& silent,
+                                       unreachable_vm& other) {
+  const auto began = world.now;
+  while (world.now - began < millis(30'000)) {
+    world.now += kReportInterval;
+    world.unix_ms += kReportInterval.count();
+    (void)silent.Report(false);
+    (void)other.Report(true);
+    world.Tick();
+    world.Commit();
+    for (const auto& next : world.core->TakeOrders(world.now)) {
+      if (next.vm == other.vm && !next.message.starts.empty()) {
+        return std::chrono::duration_cast<millis>(world.now - began);
+      }
+      if (next.vm == silent.vm) {
+        world.core->OnOrdersNotDelivered(next.vm, world.now);
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+// Regression, issue 63: such a start was sent again for good.
+TEST_CASE("a start that its runner never receives runs on another VM") {
+  coordinator_fixture world;
+  unreachable_vm silent(world, "silent");
+  unreachable_vm other(world, "other");
+  silent.complete = GENERATE(true, false);
+  (void)silent.Report(false);
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  world.core->OnOrdersNotDelivered("silent", world.now);
+  const auto time = TimeUntilStartOn(world, silent, other);
+  REQUIRE(time);
+  // Starts are sent until replies have not been received for the report
+  // timeout, and expire 2 s after the report that they answer.
+  CHECK(*time <= coordinator_options{}.report_timeout + kStartValidity +
+                     2 * kReportInterval);
+}
+
+TEST_CASE(
+    "a start that an earlier runner process may have sent is waited for") {
+  coordinator_fixture world;
+  unreachable_vm silent(world, "silent");
+  unreachable_vm other(world, "other");
+  (void)silent.Report(false);
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  world.now += kReportInterval;
+  silent.runner = "next life";
+  silent.sequence = 0;
+  (void)silent.Report(false);
+  world.core->OnOrdersNotDelivered("silent", world.now);
+  const auto time = TimeUntilStartOn(world, silent, other);
+  REQUIRE(time);
+  const coordinator_options options;
+  CHECK(*time > options.lease_duration);
+  CHECK(*time <= options.report_timeout + kStartValidity +
+                     WithClockMargin(options.lease_duration + kMaxListAge) +
+                     2 * kReportInterval);
+}
+
+TEST_CASE("orders that calls do not deliver go with the replies to reports") {
+  coordinator_fixture world;
+  unreachable_vm vm(world, "vm");
+  (void)vm.Report(false);
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  world.core->OnOrdersNotDelivered("vm", world.now);
+  world.now += kReportInterval;
+  const auto reply = vm.Report(true);
+  REQUIRE(reply.undelivered.size() == 1);
+  REQUIRE(reply.undelivered[0].starts.size() == 1);
+  CHECK(reply.undelivered[0].starts[0].run == Run(0, 0));
+  // Calls go on, which shows whether they are answered again.
+  CHECK(world.core->TakeOrders(world.now).size() == 1);
+  world.core->CancelJob(kJob, world.now);
+  world.now += kReportInterval;
+  const auto stops = vm.Report(true).undelivered;
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].stops == std::vector<run_key>{Run(0, 0)});
+  world.core->OnOrdersDelivered("vm");
+  world.now += kReportInterval;
+  CHECK(vm.Report(true).undelivered.empty());
+  CHECK(world.Stops() == std::vector<run_key>{Run(0, 0)});
+}
+
+TEST_CASE("replies to reports carry one message of orders at a time") {
+  constexpr uint32_t kTasks = 600;
+  coordinator_fixture world;
+  auto large = world.MakeReport("vm");
+  large.capacity = {10'000'000, 10'000'000, 0};
+  world.Report(large);
+  auto job = MakeSubmission({MakeStep(kTasks)});
+  job.job.payload.assign(4'000, 'p');
+  world.AddJob(kJob, job);
+  REQUIRE(world.Starts().size() == kTasks);
+  world.core->OnOrdersNotDelivered("vm", world.now);
+  world.now += kReportInterval;
+  large.answered = large.sequence;
+  large.sequence = ++world.sequence;
+  const auto reply = world.Report(large);
+  REQUIRE(reply.undelivered.size() == 1);
+  CHECK(reply.undelivered[0].starts.size() > 1);
+  CHECK(Encode(reply).size() < kMaxMessageBytes / 4);
+}
+
+TEST_CASE("a placement on a VM that takes no starts any more is given up") {
+  coordinator_fixture world;
+  unreachable_vm first(world, "first");
+  unreachable_vm other(world, "other");
+  (void)first.Report(true);
+  world.AddJob(kJob, MakeSubmission({MakeStep(1)}));
+  world.Tick();
+  first.phase = worker_phase::kUnknown;
+  first.complete = false;
+  (void)first.Report(true);
+  CHECK(world.Starts().empty());
+  for (int i = 0; i < 7; ++i) {
+    world.now += kReportInterval;
+    (void)first.Report(true);
+  }
+  (void)other.Report(true);
+  const auto starts = world.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(world.sent.back().vm == "other");
+}
+
 TEST_CASE("members of a gang start together with the same run number") {
   coordinator_fixture world;
   world.ReportRunning("vm", {});
@@ -1204,18 +1368,24 @@
   world.AddJob(kJob, job);
   world.Tick();
   world.Commit();
+  report_reply reply;
   const auto check = [&](size_t starts, size_t stops) {
     std::set<run_key> ordered;
     size_t count = 0;
+    CHECK(Encode(reply).size() < kMaxMessageBytes);
+    auto messages = std::exchange(reply.undelivered, {});
     for (const auto& next : world.core->TakeOrders(world.now)) {
       CHECK(next.vm == "vm");
-      CHECK(Encode(next.message).size() < kMaxMessageBytes);
-      for (const auto& start : next.message.starts) {
+      messages.push_back(next.message);
+    }
+    for (const auto& message : messages) {
+      CHECK(Encode(message).size() < kMaxMessageBytes);
+      for (const auto& start : message.starts) {
         ordered.insert(start.run);
         ++count;
       }
-      ordered.insert(next.message.stops.begin(), next.message.stops.end());
-      count += next.message.stops.size();
+      ordered.insert(message.stops.begin(), message.stops.end());
+      count += message.stops.size();
     }
     CHECK(ordered.size() == starts + stops);
     CHECK(count == starts + stops);
@@ -1225,7 +1395,7 @@
   // A message that did not arrive is sent again after the next report.
   world.core->OnOrdersNotDelivered("vm", world.now);
   world.now += millis(100);
-  world.ReportRunning("vm", {Run(0, 0)});
+  reply = world.ReportRunning("vm", {Run(0, 0)});
   check(kTasks - 1, 0);
   world.core->CancelJob(kJob, world.now);
   check(0, kTasks);
@@ -1333,15 +1503,22 @@
       world.sent.begin(), world.sent.end(),
       [](const auto& next) { return !next.message.starts.empty(); });
   const std::string vm = placed->vm;
+  report_reply reply;
   const auto weights = [&] {
     std::map<std::string, std::vector<pair_weight>> out;
-    for (const auto& next : world.core->TakeOrders(world.now)) {
-      if (!next.message.weights.empty()) {
-        out[next.vm] = next.message.weights;
-        for (auto& at : out[next.vm]) {
+    const auto add = [&](const std::string& to, const orders& message) {
+      if (!message.weights.empty()) {
+        out[to] = message.weights;
+        for (auto& at : out[to]) {
           at.weight = std::round(at.weight * 1'000) / 1'000;  // as encoded
         }
       }
+    };
+    for (const auto& message : std::exchange(reply.undelivered, {})) {
+      add(vm, message);
+    }
+    for (const auto& next : world.core->TakeOrders(world.now)) {
+      add(next.vm, next.message);
     }
     return out;
   };
@@ -1354,7 +1531,7 @@
     status.run = Run(0, 0);
     status.started = true;
     in.runs.push_back(status);
-    world.Report(in);
+    reply = world.Report(in);
   };
   report("life");
   CHECK(weights().empty());
@@ -1409,4 +1586,84 @@
   }
 }
 
+// Guards against a job that waits for good: the order was lost, and the reports
+// of a VM whose worker hangs renew its lease but are never complete.
+TEST_CASE("a run that never started does not wait for a hung worker") {
+  coordinator_fixture world;
+  world.ReportRunning("vm", {});
+  world.AddJob("job", MakeSubmission({MakeStep(1)}));
+  REQUIRE(world.Starts().size() == 1);
+  size_t starts = 0;
+  for (int i = 0; i < 60 && starts == 0; ++i) {
+    world.now += millis(500);
+    auto hung = world.MakeReport("vm");
+    hung.phase = worker_phase::kUnknown;
+    hung.complete = false;
+    world.Report(hung);
+    world.ReportRunning("other", {});
+    starts = world.Starts().size();
+  }
+  CHECK(starts == 1);
+}
+
+// Guards against a job that waits for good: its only run was never started, and
+// the others wait for speed as if it made progress.
+TEST_CASE("tasks do not wait for speed beside a run that has not started") {
+  coordinator_fixture world;
+  world.ReportRunning("a", {});
+  world.ReportRunning("b", {});
+  auto serving = MakeStep(2);
+  serving.long_running = true;
+  serving.latency_target = millis(50);
+  serving.image = "web";
+  serving.max_per_vm = 1;
+  world.AddJob("serving", MakeSubmission({serving}));
+  const auto placed = world.Starts();
+  REQUIRE(placed.size() == 2);
+  std::map<std::string, run_key> serving_on;
+  for (const auto& message : world.sent) {
+    for (const auto& start : message.message.starts) {
+      serving_on[message.vm] = start.run;
+    }
+  }
+  const auto report = [&](const std::string& vm, bool hung) {
+    auto in = world.MakeReport(vm);
+    in.complete = !hung;
+    in.phase = hung ? worker_phase::kUnknown : worker_phase::kReady;
+    run_status status;
+    status.run = serving_on.at(vm);
+    status.started = true;
+    status.percent = 100;
+    status.load = 49;
+    in.runs.push_back(status);
+    world.Report(in);
+  };
+  report("a", false);
+  report("b", false);
+  auto batch = MakeStep(3);
+  batch.best_effort = true;
+  batch.image = "batch";
+  world.AddJob("batch", MakeSubmission({batch}));
+  CHECK(world.Starts().empty());
+  world.now += coordinator_options{}.best_effort_patience + millis(50);
+  report("a", false);
+  report("b", false);
+  world.sent.clear();
+  REQUIRE(world.Starts().size() == 1);
+  std::string hung;
+  for (const auto& message : world.sent) {
+    hung = message.message.starts.empty() ? hung : message.vm;
+  }
+  // The order is lost, and the worker there hangs.
+  const std::string other = hung == "a" ? "b" : "a";
+  size_t starts = 0;
+  for (int i = 0; i < 20 && starts == 0; ++i) {
+    world.now += millis(500);
+    report(hung, true);
+    report(other, false);
+    starts = world.Starts().size();
+  }
+  CHECK(starts == 1);
+}
+
 }  // namespace chiveglade::workflow
--- a/tests/workflow/fixture.h
+++ b/tests/workflow/fixture.h
@@ -68,6 +68,9 @@
     out.address = vm + "-address";
     out.runner_incarnation = "life";
     out.sequence = ++sequence;
+    out.answered = sequence - 1;
+    out.boot_clock_ms =
+        std::chrono::duration_cast<millis>(now.time_since_epoch()).count();
     out.epoch = 1;
     out.worker_incarnation = 1'000;
     out.phase = worker_phase::kReady;
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -638,14 +638,23 @@
     if (!gateway->core || gateway->frozen || Chance(faults_.lost_message)) {
       continue;
     }
-    const auto reply = gateway->core->OnReport(
-        in, At(time_), gateway->writer->last_commit_sent_at());
+    const auto reply = *DecodeReportReply(Encode(gateway->core->OnReport(
+        in, At(time_), gateway->writer->last_commit_sent_at())));
     const auto epoch = gateway->writer->epoch();
     auto& runner = *runners_[from];
-    const auto deliver = [&runner, incarnation, in, reply, sent, epoch] {
+    for (const auto& orders : reply.undelivered) {
+      ordered_stops_.insert(orders.stops.begin(), orders.stops.end());
+      for (const auto& start : orders.starts) {
+        CheckGang(start);
+      }
+    }
+    const auto deliver = [this, &runner, incarnation, in, reply, sent, epoch] {
       if (runner.incarnation == incarnation && !runner.partitioned) {
         runner.core->OnCoordinator(epoch, "coordinator");
         runner.core->OnReportReply(in, reply, sent);
+        for (const auto& orders : reply.undelivered) {
+          runner.core->OnOrders(orders, At(time_));
+        }
       }
     };
     (void)Send([&](millis delay) { ScheduleAt(runner, delay, deliver); });
