Settle an expired start without an answer to its stop

Cause: a start that may have reached the worker was only settled by an answered stop, although the worker's lists arrived all the while. A worker refuses a start whose lease is over, so a list from after that without the run shows that it cannot run.

A worker never shortens a lease, and lease calls prolong it.

Test: supervisor_test "a start whose lease is over is refused without an answered stop" failed before.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -125,7 +125,11 @@
     start_order order;
     run_status status;
     bool call_in_flight = false;
-    bool start_sent = false;  // a start call may have reached the worker
+    bool stop_in_flight = false;  // it is a stop call
+    bool start_sent = false;      // a start call may have reached the worker
+    // Latest lease of these start calls, by the worker's clock; the worker
+    // carries out none of them later.
+    int64_t latest_lease_ms = 0;
     // A start call got no reply, or an earlier process may have sent one, so
     // the worker may yet carry it out.
     bool may_still_start = false;
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -18,6 +18,10 @@
 // With less than this left of the grant, a started run might lose its lease
 // before the next extension.
 constexpr millis kMinGrantForStart{300};
+// Lease that a start call asks for. A worker refuses a start whose lease is
+// over, so this bounds how late it may carry one out. Lease calls, which follow
+// within about a second, prolong it.
+constexpr millis kStartLease{2'500};
 // Pause between lease calls while ends await acknowledgement: the worker
 // replies at once then, and the lists change only by further ends.
 constexpr millis kUnacknowledgedEndsCallInterval{60};
@@ -161,6 +165,9 @@
       next.status.run = order.run;
       next.start_deadline = start_deadline;
       next.start_sent = next.may_still_start = now < earlier_starts_until_;
+      if (next.start_sent) {
+        next.latest_lease_ms = INT64_MAX;
+      }
       const auto added = runs_.emplace(order.run, std::move(next)).first;
       if (!has_heartbeat_ || IsLeaving()) {
         RefuseStart(added, has_heartbeat_ ? "draining" : "worker_unknown", now);
@@ -277,10 +284,11 @@
     call.payload = item.order.payload;
     call.checkpoint = item.order.checkpoint;
     call.ticket = item.order.ticket;
-    call.lease_until_ms = NextLeaseEnd(left, now);
+    call.lease_until_ms = NextLeaseEnd(std::min(left, kStartLease), now);
     call.fencing_token = epoch_;
     item.call_in_flight = true;
     item.start_sent = true;
+    item.latest_lease_ms = std::max(item.latest_lease_ms, call.lease_until_ms);
     ++item.attempts;
     ++starts_in_flight_;
     out.push_back(std::move(call));
@@ -304,7 +312,7 @@
     }
     if (item.phase == run_phase::kStopping && !item.call_in_flight &&
         !item.stop_confirmed && now >= item.next_attempt_at) {
-      item.call_in_flight = true;
+      item.call_in_flight = item.stop_in_flight = true;
       item.stop_incarnation = incarnation_;
       ++open;
       // Before the first heartbeat the instance is not known and not named: a
@@ -398,7 +406,7 @@
     return;
   }
   auto& item = at->second;
-  item.call_in_flight = false;
+  item.call_in_flight = item.stop_in_flight = false;
   if (item.stop_incarnation != incarnation_) {
     return;  // The previous incarnation may have replied.
   }
@@ -568,15 +576,19 @@
     return;
   }
   // A run whose start or stop was confirmed before the lists were requested and
-  // that they do not contain is not running.
+  // that they do not contain is not running. Nor is one whose starts the worker
+  // can no longer carry out, if nothing confirms the stop.
   for (auto at = runs_.begin(); at != runs_.end();) {
     auto& item = at->second;
-    const bool settled =
-        !item.listed && !item.call_in_flight &&
+    const bool confirmed =
+        !item.call_in_flight &&
         (item.phase == run_phase::kRunning ||
          (item.phase == run_phase::kStopping && item.stop_confirmed)) &&
         sent > item.confirmed_at;
-    if (!settled) {
+    const bool expired = (!item.call_in_flight || item.stop_in_flight) &&
+                         item.phase == run_phase::kStopping &&
+                         item.start_sent && in.clock_ms > item.latest_lease_ms;
+    if (item.listed || !(confirmed || expired)) {
       ++at;
       continue;
     }
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -35,7 +35,10 @@
     next.order = std::move(item.order);
     next.status.run = run;
     next.start_sent = true;
+    // By the clock of the life before.
+    next.latest_lease_ms = INT64_MAX;
     next.call_in_flight = item.call_in_flight;
+    next.stop_in_flight = item.stop_in_flight;
     next.stop_incarnation = item.stop_incarnation;
     BeginStop(next, "worker_restarted", now);
   }
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -1236,4 +1236,39 @@
   }
 }
 
+// Guards against a job that waits for good: the worker answers lease calls, but
+// neither the start nor the stop of a run. Its lists and its clock show that
+// the start can no longer be carried out.
+TEST_CASE("a start whose lease is over is refused without an answered stop") {
+  fixture world;
+  // The worker's clock may be slow, and the last start comes 2 s after the
+  // order.
+  constexpr millis kBound{12'000};
+  const bool is_start_answered = GENERATE(false, true);
+  CAPTURE(is_start_answered);
+  world.Order({fixture::Start(0)});
+  const auto ordered_at = world.now;
+  uint64_t sequence = 1;
+  while (world.last.refusals.empty() && world.now - ordered_at < kBound) {
+    for (const auto& call : world.core->TakeStarts(world.now)) {
+      world.core->OnStartReply(
+          call,
+          is_start_answered ? call_status::kUnhealthy : call_status::kNoReply,
+          world.now, world.now + millis(700));
+    }
+    for (const auto& call : world.core->TakeStops(world.now)) {
+      world.core->OnStopReply(call.run, call_status::kNoReply,
+                              world.now + millis(700));
+    }
+    world.now += millis(700);
+    world.core->OnHeartbeat(world.MakeHeartbeat(++sequence), world.now);
+    world.Lease({}, {});
+    world.Report();
+    CHECK(world.last.phase == worker_phase::kReady);
+    CHECK(world.last.complete);
+  }
+  REQUIRE(world.last.refusals.size() == 1);
+  CHECK(world.last.refusals[0].run == fixture::Run(0));
+}
+
 }  // namespace chiveglade::workflow
