Count a worker that refuses lease calls as unresponsive

Found by reading for waits without a bound: a worker that answers lease calls with an error was neither silent nor unresponsive, so its VM stayed ready and its runs were never settled although their lease was over.

Test: supervisor_test "a worker that refuses lease calls loses its runs after its lease" failed before for all four statuses.

--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -465,7 +465,7 @@
   }
   if (in.status != call_status::kOk) {
     incarnation_confirmed_ = false;
-    if (in.status == call_status::kNoReply) {
+    if (in.status != call_status::kNotListening) {
       OnNoReply(sent);
     }
     OnLeaseFailed(in.status, now);
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -1271,4 +1271,26 @@
   CHECK(world.last.refusals[0].run == fixture::Run(0));
 }
 
+// Guards against runs that wait for good: a worker that refuses each lease call
+// has no lease, but is neither silent nor unresponsive.
+TEST_CASE("a worker that refuses lease calls loses its runs after its lease") {
+  fixture world;
+  world.StartRun(0);
+  const auto status = GENERATE(call_status::kUnhealthy, call_status::kInvalid,
+                               call_status::kLeasePast, call_status::kNotSent);
+  CAPTURE(ToString(status));
+  const auto refused_at = world.now;
+  uint64_t sequence = 1;
+  while (world.last.refusals.empty() &&
+         world.now - refused_at < millis(12'000)) {
+    world.core->OnHeartbeat(world.MakeHeartbeat(++sequence), world.now);
+    world.FailLease(status, millis(5));
+    world.now += millis(100);
+    world.Report();
+  }
+  CHECK(world.last.phase == worker_phase::kUnknown);
+  REQUIRE(world.last.refusals.size() == 1);
+  CHECK(world.last.refusals[0].run == fixture::Run(0));
+}
+
 }  // namespace chiveglade::workflow
