Report complete lists for a worker whose lease is over

What callers saw: a job waited for a run whose order was lost just before its worker hung. The runner had nothing to refuse, and its reports were never complete, so the coordinator could not conclude that the run was over.

A worker that does not reply and whose lease is over runs nothing; its runner, which has refused all runs by then, now reports this as a complete, empty list.

--- a/include/chiveglade/workflow/supervisor.h
+++ b/include/chiveglade/workflow/supervisor.h
@@ -210,6 +210,8 @@
   void RefuseAllRuns(const std::string& why, boot_time now);
   // True if the worker has not replied to lease calls for heartbeat_timeout.
   bool IsUnresponsive(boot_time now) const;
+  // True if the worker does not reply and its lease is over.
+  bool IsLeaseOver(boot_time now) const;
   // A time that the worker's clock reaches within `length` even if it is slow.
   int64_t WorkerTimeAfter(millis length, boot_time now) const;
   // The latest time that the worker's clock can show.
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -739,9 +739,11 @@
                    last_full_report_.worker_incarnation == incarnation_ &&
                    now - last_full_report_.sent_at < kRunListInterval;
   if (!out.omits_runs) {
-    out.complete = has_worker_clock_ && lists_complete_ && !refusing &&
-                   lists_epoch_ == epoch_ &&
-                   now - last_lease_reply_at_ < kMaxListAge;
+    const bool has_lists = has_worker_clock_ && lists_complete_ && !refusing &&
+                           lists_epoch_ == epoch_ &&
+                           now - last_lease_reply_at_ < kMaxListAge;
+    // Without a lease the worker runs nothing.
+    out.complete = has_lists || (runs_.empty() && IsLeaseOver(now));
     size_t checkpoint_bytes = 0;
     for (const auto& [run, item] : runs_) {
       out.runs.push_back(item.status);
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -294,7 +294,7 @@
   const bool silent = now - last_heartbeat_at_ > options_.heartbeat_timeout &&
                       now - last_lease_reply_at_ > options_.heartbeat_timeout;
   if (!exited && !(lease_over && (IsRefusing(now) || silent))) {
-    if (lease_over && IsUnresponsive(now)) {
+    if (IsLeaseOver(now)) {
       RefuseAllRuns("unresponsive", now);
     }
     return;
@@ -323,6 +323,11 @@
          now - last_lease_reply_at_ > options_.heartbeat_timeout;
 }
 
+bool supervisor::IsLeaseOver(boot_time now) const {
+  return incarnation_ != 0 && starts_in_flight_ == 0 && IsUnresponsive(now) &&
+         now > latest_lease_end_;
+}
+
 bool supervisor::IsRefusing(boot_time now) const {
   return connect_refused_since_ != boot_time{} &&
          now - connect_refused_since_ >= options_.connect_refused_timeout;
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -700,4 +700,25 @@
   CheckCompletes(world);
 }
 
+// Guards against jobs that wait for good for a worker that hangs from about
+// when orders to it were lost.
+TEST_CASE("jobs end although one worker hangs for good") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kRunners, kGateways);
+  world.SetFaults({.lost_message = 0.4});
+  world.Advance(millis(4'000));
+  for (int i = 0; i < 12; ++i) {
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(3)}));
+    world.Advance(millis(200));
+    if (i == 3) {
+      world.SetCallHandling(0, workflow_world::call_handling::kIgnore);
+    }
+  }
+  world.SetFaults({});
+  world.Advance(millis(30'000));
+  CheckInvariants(world);
+  CHECK(world.AllEnded());
+}
+
 }  // namespace chiveglade::workflow
--- a/tests/workflow/supervisor_test.cc
+++ b/tests/workflow/supervisor_test.cc
@@ -1293,4 +1293,21 @@
   CHECK(world.last.refusals[0].run == fixture::Run(0));
 }
 
+// Guards against a job that waits for good: the coordinator placed a run whose
+// order was lost, so the runner, whose worker hangs, has nothing to refuse.
+TEST_CASE("a worker without a lease shows that it runs nothing") {
+  fixture world;
+  uint64_t sequence = 1;
+  const auto lost_at = world.now;
+  while (world.now - lost_at < millis(12'000)) {
+    world.core->OnHeartbeat(world.MakeHeartbeat(++sequence), world.now);
+    world.FailLease(call_status::kNoReply, millis(700));
+    world.now += millis(500);
+    world.Report();
+  }
+  CHECK(world.last.phase == worker_phase::kUnknown);
+  CHECK(world.last.runs.empty());
+  CHECK(world.last.complete);
+}
+
 }  // namespace chiveglade::workflow
