Give a silent HTTP/2 connection up at the first timeout

What callers saw: while an open connection between two processes passed nothing, in one direction or both, every call on it timed out until one side closed it for 2.4 s of silence. Calls of 600 ms, one each 500 ms, gave up to five exchange_timeout in a row and then one connection_lost or idle_timeout.

Cause: liveness was judged by any byte within the idle timeout, and a call that timed out had no effect on the connection that the next call used.

A call now sends a PING after half of its time. If it times out and nothing has arrived since its request was sent that answers a frame of this side, the connection takes no new streams. Streams in progress go on, and a slow handler costs no connection, since its process acknowledges the PING.

--- a/include/chiveglade/net/h2_stream.h
+++ b/include/chiveglade/net/h2_stream.h
@@ -62,6 +62,14 @@
   // Ends the stream in both directions with an error code. Pending calls fail.
   virtual void Reset(h2_error code) = 0;
 
+  // Client: asks the peer for a sign of life on the connection of the stream.
+  virtual void Probe() = 0;
+
+  // Client: like Reset(kCancel), because the answer is late. If the peer has
+  // answered nothing on the connection since the request was sent, it takes no
+  // new streams, and the next call connects anew.
+  virtual void TimeOut() = 0;
+
   // Client: whether the peer may have acted on the request, judged by RFC 9113:
   // not_run if no byte of it was handed to the connection, if the peer reset
   // the stream with REFUSED_STREAM, or if a GOAWAY named a lower last stream.
--- a/src/net/h2_callbacks.cc
+++ b/src/net/h2_callbacks.cc
@@ -70,10 +70,25 @@
     return 0;
   }
 
+  // A peer that does not receive anything can still send SETTINGS, PING and
+  // GOAWAY of its own accord.
+  static bool IsAnswer(const nghttp2_frame_hd& in) {
+    switch (in.type) {
+      case NGHTTP2_SETTINGS:
+      case NGHTTP2_PING:
+        return (in.flags & NGHTTP2_FLAG_ACK) != 0;
+      case NGHTTP2_GOAWAY:
+        return false;
+      default:
+        return true;
+    }
+  }
+
   static int OnFrame(nghttp2_session*,
                      const nghttp2_frame* frame,
                      void* user_data) {
     auto& self = Self(user_data);
+    self.answers_ += IsAnswer(frame->hd) ? 1 : 0;
     if (frame->hd.type == NGHTTP2_GOAWAY) {
       self.goaway_received_ = true;
       return 0;
--- a/src/net/h2_connection.cc
+++ b/src/net/h2_connection.cc
@@ -216,6 +216,17 @@
   Flush();
 }
 
+void h2_connection::TimeOut(const h2_stream_state_ptr& stream) {
+  const bool is_silent = stream->id != 0 && !stream->closed &&
+                         session_.answers() == stream->answers_before;
+  session_.Reset(stream, static_cast<uint32_t>(h2_error::kCancel));
+  if (is_silent) {
+    Finish();
+  } else {
+    Flush();
+  }
+}
+
 bool h2_connection::usable() const {
   return phase_ == phase::kOpen && !finishing_ && !broken_ &&
          session_.can_open();
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -47,6 +47,10 @@
   // Sends GOAWAY and closes once no stream is open.
   void Finish();
 
+  // Client: resets a stream whose answer is late, and calls Finish if the peer
+  // has answered nothing since its request was sent.
+  void TimeOut(const h2_stream_state_ptr& stream);
+
   // Fails all streams and closes now.
   void Abort(const reason& why);
 
--- a/src/net/h2_exchange.cc
+++ b/src/net/h2_exchange.cc
@@ -82,7 +82,7 @@
   return Receive(*call.stream, call.max_bytes, yield);
 }
 
-void StartTimer(const std::shared_ptr<exchange>& call, millis timeout) {
+void AwaitTimeout(const std::shared_ptr<exchange>& call, millis timeout) {
   call->timer.expires_after(timeout);
   call->timer.async_wait([call](const boost::system::error_code& error) {
     if (error || !call->then) {
@@ -91,8 +91,25 @@
     Resume(call->then,
            exchanged(reason{"exchange_timeout", "no whole answer in time"}));
     if (call->stream) {
-      call->stream->Reset(h2_error::kCancel);
+      call->stream->TimeOut();
+    }
+  });
+}
+
+// Half of the time is left for the acknowledgement of a PING, which tells a
+// slow handler from a connection that has gone silent.
+void StartTimer(const std::shared_ptr<exchange>& call, millis timeout) {
+  const millis probe_after = timeout / 2;
+  call->timer.expires_after(probe_after);
+  call->timer.async_wait([call, rest = timeout - probe_after](
+                             const boost::system::error_code& error) {
+    if (error || !call->then) {
+      return;
+    }
+    if (call->stream) {
+      call->stream->Probe();
     }
+    AwaitTimeout(call, rest);
   });
 }
 
--- a/src/net/h2_session.cc
+++ b/src/net/h2_session.cc
@@ -138,6 +138,7 @@
     return;
   }
   of->id = id;
+  of->answers_before = answers_;
   streams_.emplace(id, of);
 }
 
--- a/src/net/h2_session.h
+++ b/src/net/h2_session.h
@@ -78,6 +78,8 @@
   // Destroys every suspended call without resuming it.
   void DropCalls();
 
+  // Frames received that the peer sends only after it has read from this side.
+  uint64_t answers() const { return answers_; }
   bool goaway_received() const { return goaway_received_; }
   // False once the protocol has ended, by an error or by both GOAWAYs.
   bool is_alive() const;
@@ -128,6 +130,7 @@
   nghttp2_session* session_ = nullptr;
   bool goaway_received_ = false;
   bool goaway_sent_ = false;
+  uint64_t answers_ = 0;
   std::optional<reason> lost_;  // set by FailAll
   size_t received_bytes_ = 0;
   std::unordered_map<int32_t, h2_stream_state_ptr> streams_;
--- a/src/net/h2_stream_handle.cc
+++ b/src/net/h2_stream_handle.cc
@@ -72,6 +72,18 @@
   });
 }
 
+void h2_stream_handle::Probe() {
+  asio::dispatch(on_->strand(), [on = on_] {
+    on->session().Ping();
+    on->Flush();
+  });
+}
+
+void h2_stream_handle::TimeOut() {
+  asio::dispatch(on_->strand(),
+                 [on = on_, state = state_] { on->TimeOut(state); });
+}
+
 verdict h2_stream_handle::delivery() const {
   if (state_->remote_end) {
     return verdict::kRan;
--- a/src/net/h2_stream_handle.h
+++ b/src/net/h2_stream_handle.h
@@ -28,6 +28,8 @@
   result<size_t> Read(char* into, size_t size, yield yield) override;
   result<done> Write(std::string_view bytes, bool end, yield yield) override;
   void Reset(h2_error code) override;
+  void Probe() override;
+  void TimeOut() override;
   verdict delivery() const override;
 
   // Ends whatever is still open of the stream. Thread-safe.
--- a/src/net/h2_stream_state.h
+++ b/src/net/h2_stream_state.h
@@ -38,6 +38,8 @@
   bool header_limit_exceeded = false;
   bool has_response = false;  // final response headers received or submitted
 
+  uint64_t answers_before = 0;  // of the connection, when it was submitted
+
   std::string inbox;      // received, not yet read
   size_t inbox_read = 0;  // bytes of it already read
   size_t received = 0;    // header and body bytes, read or not
