Simulate message loss in one direction and check for idle jobs

The simulation cut a runner off in both directions only, so the case in which its orders are lost while its reports and their replies arrive was never played, and no invariant looked at jobs that stand still before all faults end.

workflow_world loses orders, reports and replies to reports of one runner independently, and can let a worker drain. A sender of lost orders is told after 600 ms, the timeout of coordinator_host.

idle_job_check is off unless a test asks for it. A finite, accepted job that was not cancelled, of which nothing runs and of which a task's turn has come, is a violation once it has stood so for too long, while there is a coordinator and the free room of the sound VMs suffices for all tasks that wait, of all jobs. It names job, task, since when, and the VM to which the last start was sent and whether its runner received it.

A disturbance is the begin or end of any fault, or a new coordinator; a loss that lasts is none, since the runner's machine was calm in the reported cases. By design, a run whose order was lost can be given up 2 s (kStartValidity) after its last order, with the next list of runs of its VM (0.45 to 0.6 s) and a placement (50 ms and a commit). - kMaxIdleTimeUnderLease, 9 s after the last disturbance, as workflow_world::kMaxRestartTime: where the VM's reports do not show what its worker runs, or its runner has received the order and is not sound. Its lease of 6 s, under a grant of 7 s, has to expire first. Also while messages are lost at random.

--- a/tests/workflow/fake_worker.cc
+++ b/tests/workflow/fake_worker.cc
@@ -101,7 +101,7 @@
   out.service = "service";
   out.data_centre = "dc";
   out.rack = rack_;
-  out.capacity = {4'000, 8'000, 0};
+  out.capacity = capacity();
   return out;
 }
 
--- a/tests/workflow/fake_worker.h
+++ b/tests/workflow/fake_worker.h
@@ -56,6 +56,8 @@
   void SetCheckpointBytes(size_t bytes) { checkpoint_.assign(bytes, 'c'); }
 
   bool up() const { return up_; }
+  bool refusing() const { return refusing_; }
+  resources capacity() const { return {4'000, 8'000, 0}; }
   int64_t incarnation() const { return incarnation_; }
   std::string instance() const {
     return vm_ + "-" + std::to_string(instance_number_);
--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -324,6 +324,79 @@
   CheckCompletes(world);
 }
 
+// Of twelve jobs of four tasks, a quarter is placed on each of four VMs.
+constexpr size_t kVms = 4;
+
+void SubmitWideJobs(workflow_world& world) {
+  for (int i = 0; i < 12; ++i) {
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(4)}));
+  }
+}
+
+// Unlike CheckCompletes, leaves the faults as they are: the other VMs have room
+// for all jobs.
+void CheckCompletesElsewhere(workflow_world& world) {
+  world.Advance(millis(30'000));
+  CheckInvariants(world);
+  CHECK(world.AllEnded());
+}
+
+// The first two VMs lose messages in one direction at a time, and have other
+// faults, while coordinators change. The other two VMs stay well.
+void RunOneWayLosses(int seed) {
+  constexpr size_t kFaultyVms = 2;
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'031);
+  if (pick(3) == 0) {
+    world.SetFaults({.lost_message = 0.02, .late_message = 0.02});
+  }
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  SubmitJobs(world, 12);
+  for (int i = 0; i < 24; ++i) {
+    world.Advance(millis(100 + 50 * pick(30)));
+    const bool on = pick(2) == 0;
+    const size_t vm = pick(kFaultyVms);
+    using handling = workflow_world::call_handling;
+    switch (pick(11)) {
+      case 0:
+      case 1:
+        world.SetOrdersLost(vm, on);
+        break;
+      case 2:
+        world.SetReportsLost(vm, on);
+        break;
+      case 3:
+        world.SetReportRepliesLost(vm, on);
+        break;
+      case 4:
+        world.RestartRunner(vm);
+        break;
+      case 5:
+        world.SetWorkerDraining(vm, on);
+        break;
+      case 6:
+        world.SetCallHandling(vm, on ? handling::kIgnore : handling::kAnswer);
+        break;
+      case 7:
+        world.SetCallHandling(vm, on ? handling::kNoReply : handling::kAnswer);
+        break;
+      case 8:
+        world.BounceWorker(vm, millis(50 * pick(20)));
+        break;
+      case 9:
+        world.RestartGateway(pick(kGateways));
+        break;
+      default:
+        world.Submit("more" + std::to_string(i),
+                     MakeSubmission({MakeStep(1 + pick(3))}));
+        break;
+    }
+  }
+  CheckCompletesElsewhere(world);
+  CheckCompletes(world);
+}
+
 // Returns a number from the environment.
 int Setting(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -700,4 +773,156 @@
   CheckCompletes(world);
 }
 
+// Regression, issue 63: runs whose orders never arrived kept their place for
+// good, as the reports of their VM did.
+TEST_CASE("jobs complete although one runner gets no orders") {
+  const int seed = GENERATE(range(1, 11));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'000));
+  world.SetOrdersLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("no job stands still whenever the orders to a runner get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(200 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetOrdersLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE(
+    "jobs that come after a runner's orders got lost do not stand still") {
+  const int seed = GENERATE(range(1, 11));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  world.SetOrdersLost(0, true);
+  for (int i = 0; i < 20; ++i) {
+    world.Advance(millis(700));
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(2)}));
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("a new coordinator gives up runs whose orders do not arrive") {
+  const bool restart_first = GENERATE(false, true);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(restart_first, moment);
+  workflow_world world(300 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'500));
+  const auto restart = [&world] {
+    for (size_t i = 0; i < kGateways; ++i) {
+      world.RestartGateway(i);
+    }
+  };
+  if (restart_first) {
+    restart();
+  } else {
+    world.SetOrdersLost(0, true);
+  }
+  world.Advance(millis(170 * moment));
+  if (restart_first) {
+    world.SetOrdersLost(0, true);
+  } else {
+    restart();
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs of a restarted runner that gets no orders are given up") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(400 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  const bool restart_first = moment % 2 == 0;
+  if (restart_first) {
+    world.RestartRunner(0);
+  } else {
+    world.SetOrdersLost(0, true);
+  }
+  world.Advance(millis(60 * moment));
+  if (restart_first) {
+    world.SetOrdersLost(0, true);
+  } else {
+    world.RestartRunner(0);
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a draining VM whose runner gets no orders are given up") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(500 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  world.SetOrdersLost(0, true);
+  world.Advance(millis(150 * moment));
+  world.SetWorkerDraining(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a silent worker whose runner gets no orders are given up") {
+  using handling = workflow_world::call_handling;
+  const auto how = GENERATE(handling::kIgnore, handling::kNoReply);
+  const bool same_vm = GENERATE(false, true);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(static_cast<int>(how), same_vm, moment);
+  workflow_world world(600 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  world.SetOrdersLost(0, true);
+  world.Advance(millis(250 * moment));
+  world.SetCallHandling(same_vm ? 0 : 1, how);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("jobs complete although one runner's reports get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(700 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetReportsLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("jobs complete although the replies to one runner get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(800 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetReportRepliesLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("one-way losses among other faults let no job stand still") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunOneWayLosses(seed);
+}
+
+TEST_CASE("soak: one-way losses among other faults", "[.soak]") {
+  const int last = Setting("SOAK_LAST", 2'000);
+  for (int seed = Setting("SOAK_FIRST", 1); seed <= last; ++seed) {
+    CAPTURE(seed);
+    RunOneWayLosses(seed);
+  }
+}
+
 }  // namespace chiveglade::workflow
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -29,6 +29,9 @@
 constexpr millis kUnavailableAfter{3'000};
 // As the HTTP client has it.
 constexpr millis kReplyTimeout{700};
+// After which a coordinator takes orders without a reply for lost.
+constexpr millis kOrdersTimeout{600};
+constexpr millis kIdleCheckInterval{50};
 
 boot_time At(millis time) {
   constexpr millis kOffset{1'000'000};
@@ -52,6 +55,10 @@
   uint64_t incarnation = 0;
   bool partitioned = false;
   bool frozen = false;
+  bool orders_lost = false;
+  bool reports_lost = false;
+  bool report_replies_lost = false;
+  bool draining = false;
   std::optional<millis> suspended_since;
   // Tasks with a run when it was suspended.
   std::set<task_key> suspended_tasks;
@@ -196,6 +203,7 @@
 }
 
 void workflow_world::RestartGateway(size_t index) {
+  NoteDisturbance();
   auto& on = *gateways_[index];
   ++on.incarnation;
   on.core.reset();
@@ -231,6 +239,7 @@
 }
 
 void workflow_world::RestartRunner(size_t index) {
+  NoteDisturbance();
   auto& on = *runners_[index];
   ++on.incarnation;
   supervisor_options options;
@@ -244,32 +253,40 @@
 }
 
 void workflow_world::SetGatewayFrozen(size_t index, bool frozen) {
+  NoteDisturbance();
   gateways_[index]->frozen = frozen;
 }
 
 void workflow_world::SetStorePartitioned(size_t index, bool partitioned) {
+  NoteDisturbance();
   gateways_[index]->partitioned = partitioned;
 }
 
 void workflow_world::SetRunnerPartitioned(size_t index, bool partitioned) {
+  NoteDisturbance();
   runners_[index]->partitioned = partitioned;
 }
 
 void workflow_world::SetRunnerFrozen(size_t index, bool frozen) {
+  NoteDisturbance();
   runners_[index]->frozen = frozen;
 }
 
 void workflow_world::SetCallHandling(size_t index, call_handling how) {
+  NoteDisturbance();
   runners_[index]->handling = how;
 }
 
 void workflow_world::LoseWorker(size_t index) {
+  NoteDisturbance();
   auto& on = *runners_[index];
   on.handling = call_handling::kIgnore;
   on.worker->Crash(true);
+  idle_jobs_.OnWorkerLost(on.name());
 }
 
 void workflow_world::SetVmSuspended(size_t index, bool suspended) {
+  NoteDisturbance();
   auto& on = *runners_[index];
   if (suspended == on.suspended_since.has_value()) {
     return;
@@ -305,30 +322,68 @@
   }
 }
 
+void workflow_world::SetFaults(const faults& in) {
+  NoteDisturbance();
+  faults_ = in;
+}
+
+void workflow_world::SetStoreDown(bool down) {
+  NoteDisturbance();
+  store_down_ = down;
+}
+
+void workflow_world::SetOrdersLost(size_t index, bool lost) {
+  NoteDisturbance();
+  runners_[index]->orders_lost = lost;
+}
+
+void workflow_world::SetReportsLost(size_t index, bool lost) {
+  NoteDisturbance();
+  runners_[index]->reports_lost = lost;
+}
+
+void workflow_world::SetReportRepliesLost(size_t index, bool lost) {
+  NoteDisturbance();
+  runners_[index]->report_replies_lost = lost;
+}
+
+void workflow_world::SetWorkerDraining(size_t index, bool draining) {
+  NoteDisturbance();
+  runners_[index]->draining = draining;
+}
+
 void workflow_world::SetNewsSilent(size_t index, bool silent) {
+  NoteDisturbance();
   gateways_[index]->news_silent = silent;
 }
 
 void workflow_world::CrashWorker(size_t index, bool stays_down) {
+  NoteDisturbance();
   runners_[index]->worker->Crash(stays_down);
+  idle_jobs_.OnWorkerLost(runners_[index]->name());
 }
 
 void workflow_world::BounceWorker(size_t index, millis first_heartbeat) {
+  NoteDisturbance();
   auto& on = *runners_[index];
   on.worker->Crash(false, true);
+  idle_jobs_.OnWorkerLost(on.name());
   on.last_heartbeat_at = time_ - kHeartbeatInterval + first_heartbeat;
 }
 
 void workflow_world::SetWorkerRefusing(size_t index, bool refusing) {
+  NoteDisturbance();
   runners_[index]->worker->SetRefusing(refusing);
 }
 
 void workflow_world::AnnounceExit(size_t index) {
+  NoteDisturbance();
   auto& on = *runners_[index];
   on.core->OnWorkerExit(on.worker->instance(), At(time_));
 }
 
 void workflow_world::SendForeignHeartbeat(size_t index) {
+  NoteDisturbance();
   worker_heartbeat heartbeat;
   heartbeat.instance = "other";
   heartbeat.incarnation = kUnixStart + time_.count();
@@ -338,6 +393,7 @@
 }
 
 void workflow_world::SetMaxListedEnds(size_t limit) {
+  NoteDisturbance();
   for (auto& runner : runners_) {
     runner->worker->SetMaxListedEnds(limit);
   }
@@ -357,17 +413,21 @@
 }
 
 void workflow_world::BringUpWorker(size_t index) {
+  NoteDisturbance();
   runners_[index]->worker->BringUp();
 }
 
 void workflow_world::Heal() {
+  NoteDisturbance();
   faults_ = {};
   store_down_ = false;
   for (auto& gateway : gateways_) {
     gateway->frozen = gateway->partitioned = gateway->news_silent = false;
   }
   for (auto& runner : runners_) {
-    runner->partitioned = runner->frozen = false;
+    runner->partitioned = runner->frozen = runner->draining = false;
+    runner->orders_lost = runner->reports_lost = false;
+    runner->report_replies_lost = false;
     runner->handling = call_handling::kAnswer;
     SetVmSuspended(runner->index, false);
     runner->worker->BringUp();
@@ -456,6 +516,74 @@
       StepGateway(*gateway);
     }
   }
+  if (checks_idle_jobs_ && time_ % kIdleCheckInterval == millis(0)) {
+    FindIdleJobs();
+  }
+}
+
+const workflow_world::gateway* workflow_world::ReadyCoordinator() const {
+  const auto at =
+      std::find_if(gateways_.begin(), gateways_.end(), [](const auto& each) {
+        return each->core && each->writer->holds() && !each->frozen &&
+               !each->partitioned && !each->news_silent;
+      });
+  return at == gateways_.end() || store_down_ ? nullptr : at->get();
+}
+
+void workflow_world::FindIdleJobs() {
+  if (const auto* coordinator = ReadyCoordinator();
+      coordinator && coordinator->writer->epoch() != last_ready_epoch_) {
+    last_ready_epoch_ = coordinator->writer->epoch();
+    NoteDisturbance();
+  }
+  for (auto& violation : idle_jobs_.Check(MakeIdleJobView())) {
+    violations_.push_back(std::move(violation));
+  }
+}
+
+idle_job_check::world_view workflow_world::MakeIdleJobView() const {
+  idle_job_check::world_view out;
+  out.now = time_;
+  out.unix_ms = kUnixStart + time_.count();
+  out.has_ready_coordinator = ReadyCoordinator() != nullptr;
+  out.loses_messages = faults_ != faults{};
+  for (const auto& on : runners_) {
+    out.vms.push_back(MakeIdleJobVm(*on));
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (id.starts_with(kHopelessJob) || cancelled_at_.contains(id) ||
+        store_.Read(kEndedPrefix + id)) {
+      continue;
+    }
+    out.jobs.emplace(id, &job);
+    if (!IsLasting(id)) {
+      out.checked_jobs.insert(id);
+    }
+  }
+  for (const auto& [task, vms] : running_) {
+    if (!vms.empty()) {
+      out.running.insert(task);
+    }
+  }
+  return out;
+}
+
+idle_job_check::vm workflow_world::MakeIdleJobVm(const runner& on) const {
+  idle_job_check::vm out;
+  out.name = on.name();
+  out.lists_arrive = !on.partitioned && !on.frozen && !on.reports_lost &&
+                     !on.suspended_since && on.worker->up() &&
+                     !on.worker->refusing() &&
+                     on.handling == call_handling::kAnswer;
+  out.sound = out.lists_arrive && !on.orders_lost && !on.report_replies_lost &&
+              !on.draining;
+  out.free = on.worker->capacity();
+  for (const auto& run : on.worker->runs()) {
+    if (const auto* step = StepOf(run.task)) {
+      out.free -= step->demand;
+    }
+  }
+  return out;
 }
 
 run_plan workflow_world::PlanOf(const run_key& run) const {
@@ -599,11 +727,24 @@
     auto& runner = *runners_[to];
     for (const auto& start : next.message.starts) {
       CheckGang(start);
+      idle_jobs_.OnStartSent(start.run, next.vm, time_);
     }
     ordered_stops_.insert(next.message.stops.begin(), next.message.stops.end());
     const auto deliver = [this, &runner, bytes = Encode(next.message)] {
-      runner.core->OnOrders(*DecodeOrders(bytes), At(time_));
+      const auto message = *DecodeOrders(bytes);
+      for (const auto& start : message.starts) {
+        idle_jobs_.OnStartReceived(start.run);
+      }
+      runner.core->OnOrders(message, At(time_));
     };
+    if (runner.orders_lost) {
+      Schedule(kOrdersTimeout, [&on, vm = next.vm, epoch = on.writer->epoch()] {
+        if (on.core && on.writer->epoch() == epoch) {
+          on.core->OnOrdersNotDelivered(vm);
+        }
+      });
+      continue;
+    }
     if (runner.partitioned ||
         !Send([&](millis delay) { ScheduleAt(runner, delay, deliver); })) {
       on.core->OnOrdersNotDelivered(next.vm);
@@ -642,6 +783,9 @@
         in, At(time_), gateway->writer->last_commit_sent_at());
     const auto epoch = gateway->writer->epoch();
     auto& runner = *runners_[from];
+    if (runner.report_replies_lost) {
+      continue;
+    }
     const auto deliver = [&runner, incarnation, in, reply, sent, epoch] {
       if (runner.incarnation == incarnation && !runner.partitioned) {
         runner.core->OnCoordinator(epoch, "coordinator");
@@ -656,13 +800,18 @@
   const auto now = At(time_);
   if (on.worker->up() && time_ - on.last_heartbeat_at >= kHeartbeatInterval) {
     on.last_heartbeat_at = time_;
-    on.core->OnHeartbeat(on.worker->MakeHeartbeat(), now);
+    auto heartbeat = on.worker->MakeHeartbeat();
+    heartbeat.draining = on.draining;
+    on.core->OnHeartbeat(heartbeat, now);
   }
   CallWorker(on);
   if (!on.partitioned && (on.core->IsReportDue() ||
                           time_ - on.last_report_at >= kReportInterval)) {
     on.last_report_at = time_;
     const auto bytes = Encode(on.core->MakeReport(now));
+    if (on.reports_lost) {
+      return;
+    }
     (void)Send([&](millis delay) {
       Schedule(delay, [this, index = on.index, bytes, now] {
         DeliverReport(index, bytes, now);
@@ -794,6 +943,7 @@
     violations_.push_back("starts after it completed: " + what);
   }
   at.insert(vm);
+  idle_jobs_.OnStarted(run.task);
   started_at_[run.task] = time_;
   CheckAttempts(run.task);
   down_since_.erase(run.task);
@@ -851,8 +1001,10 @@
   }
   if (how == run_result::kDone) {
     done_at_[run] = time_;
+    idle_jobs_.OnDone(run.task, vm);
   } else if (how == run_result::kFailed) {
     failed_at_[run] = time_;
+    idle_jobs_.OnFailed(run.task);
   }
 }
 
@@ -893,6 +1045,7 @@
     return;
   }
   done_.insert(end.run.task);
+  idle_jobs_.OnDoneAcknowledged(end.run.task);
   if (started_at_[end.run.task] > done_at_[end.run]) {
     violations_.push_back(
         "restarted although its completion was acknowledged: " +
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -17,6 +17,7 @@
 #include "chiveglade/workflow/supervisor.h"
 #include "tests/support/memory_store.h"
 #include "tests/workflow/fake_worker.h"
+#include "tests/workflow/idle_job_check.h"
 
 namespace chiveglade::workflow {
 
@@ -73,12 +74,17 @@
   void CancelEarly(const std::string& id);
   void Advance(millis time);
 
-  void SetFaults(const faults& in) { faults_ = in; }
+  void SetFaults(const faults& in);
   // A frozen process does nothing but keeps its state.
   void SetGatewayFrozen(size_t index, bool frozen);
   void SetStorePartitioned(size_t index, bool partitioned);
   void SetRunnerPartitioned(size_t index, bool partitioned);
   void SetRunnerFrozen(size_t index, bool frozen);
+  // Orders to the runner, its reports, or the replies to them are lost, each
+  // independently of the others.
+  void SetOrdersLost(size_t index, bool lost);
+  void SetReportsLost(size_t index, bool lost);
+  void SetReportRepliesLost(size_t index, bool lost);
   // The gateway hears of no new jobs and cancellations. Its writes go on.
   void SetNewsSilent(size_t index, bool silent);
   void RestartGateway(size_t index);
@@ -88,6 +94,8 @@
   // A worker that refuses calls runs on.
   void SetWorkerRefusing(size_t index, bool refusing);
   void SetCallHandling(size_t index, call_handling how);
+  // The worker's heartbeats say that it drains; it runs on.
+  void SetWorkerDraining(size_t index, bool draining);
   // The worker is lost for good: it ends, and calls get no reply. Heartbeats
   // stop. Heal() replaces it.
   void LoseWorker(size_t index);
@@ -97,6 +105,9 @@
   // Checks from now on that each long-running task without best-effort runs
   // again within kMaxRestartTime, so there must be capacity and a coordinator.
   void CheckRestarts() { checks_restarts_ = true; }
+  // Checks from now on that no accepted finite job stands still while there is
+  // a coordinator and room on sound VMs for all tasks that wait.
+  void CheckIdleJobs() { checks_idle_jobs_ = true; }
   // The runner gets a notice that the worker exits, which goes on nevertheless.
   void AnnounceExit(size_t index);
   // A heartbeat of another worker reaches the runner.
@@ -111,7 +122,7 @@
   // The worker crashes and is back at once under its instance name. Its first
   // heartbeat comes after `first_heartbeat`.
   void BounceWorker(size_t index, millis first_heartbeat);
-  void SetStoreDown(bool down) { store_down_ = down; }
+  void SetStoreDown(bool down);
   void Heal();
 
   // Violated invariants; empty if there were none.
@@ -165,6 +176,13 @@
   // Ends the other members of a gang's run, as workers do.
   void EndGang(const run_key& run);
   void CheckDownTimes();
+  // A fault has begun or ended.
+  void NoteDisturbance() { idle_jobs_.OnDisturbance(time_); }
+  void FindIdleJobs();
+  idle_job_check::world_view MakeIdleJobView() const;
+  idle_job_check::vm MakeIdleJobVm(const runner& on) const;
+  // The gateway that can place tasks; null if there is none.
+  const gateway* ReadyCoordinator() const;
   void CheckPaces(runner& on);
   void CheckStop(const run_key& run);
   // All members of a run of a gang are to start with the same checkpoint.
@@ -198,6 +216,9 @@
   // When the runs of each task failed whose ends were acknowledged in time.
   std::map<task_key, std::vector<millis>> acknowledged_failures_;
   bool checks_restarts_ = false;
+  bool checks_idle_jobs_ = false;
+  idle_job_check idle_jobs_;
+  uint64_t last_ready_epoch_ = 0;
   // When the last run of each long-running task ended, while it has none.
   std::map<task_key, millis> down_since_;
   std::set<task_key> down_by_stop_;  // of these, those that were stopped
