Play faults of some VMs that last, with the check for idle jobs

An end that was not acknowledged counts only while the VM of its worker is sound, since nobody else may know of it; and a bound by a lease stays in force after the next run was sent. Without either, tasks whose leases had to expire first were reported at 7.25 s.

--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -397,6 +397,103 @@
   CheckCompletes(world);
 }
 
+// Each round, faults of two VMs, of a gateway or of the store begin and last.
+// The other two VMs and gateways stay well.
+void RunLastingFaults(int seed) {
+  constexpr size_t kFaultyVms = 2;
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'033);
+  if (pick(4) == 0) {
+    world.SetMaxListedEnds(1 + pick(3));
+  }
+  if (pick(4) == 0) {
+    world.SetCheckpointBytes(300 * pick(8));
+  }
+  if (pick(2) == 0) {
+    world.SetFaults({.lost_message = 0.05,
+                     .late_order = 0.1,
+                     .lost_store_answer = 0.1,
+                     .late_message = 0.05});
+  }
+  world.CheckIdleJobs();
+  for (int round = 0; round < 6; ++round) {
+    const std::string number = std::to_string(round);
+    for (int i = 0; i < 6; ++i) {
+      auto second = MakeStep(1 + pick(3));
+      second.after = {0};
+      world.Submit("job" + number + "-" + std::to_string(i),
+                   MakeSubmission({MakeStep(1 + pick(4)), second}));
+    }
+    SubmitGang(world, number);
+    for (size_t i = 0; i < 3; ++i) {
+      world.Advance(millis(50 * pick(30)));
+      const size_t vm = pick(kFaultyVms);
+      using handling = workflow_world::call_handling;
+      switch (pick(18)) {
+        case 0:
+          world.SetOrdersLost(vm, true);
+          break;
+        case 1:
+          world.SetReportsLost(vm, true);
+          break;
+        case 2:
+          world.SetReportRepliesLost(vm, true);
+          break;
+        case 3:
+          world.SetRunnerPartitioned(vm, true);
+          break;
+        case 4:
+          world.SetRunnerFrozen(vm, true);
+          break;
+        case 5:
+          world.RestartRunner(vm);
+          break;
+        case 6:
+          world.SetWorkerDraining(vm, true);
+          break;
+        case 7:
+          world.SetCallHandling(vm, handling::kIgnore);
+          break;
+        case 8:
+          world.SetCallHandling(vm, handling::kNoReply);
+          break;
+        case 9:
+          world.SetWorkerRefusing(vm, true);
+          break;
+        case 10:
+          world.CrashWorker(vm, pick(2) == 0);
+          break;
+        case 11:
+          world.LoseWorker(vm);
+          break;
+        case 12:
+          world.BounceWorker(vm, millis(50 * pick(20)));
+          break;
+        case 13:
+          world.AnnounceExit(vm);
+          break;
+        case 14:
+          world.SendForeignHeartbeat(vm);
+          break;
+        case 15:
+          world.SetGatewayFrozen(0, pick(2) == 0);
+          break;
+        case 16:
+          world.SetStorePartitioned(0, pick(2) == 0);
+          break;
+        default:
+          world.RestartGateway(pick(kGateways));
+          break;
+      }
+    }
+    world.Advance(millis(12'000));
+    if (pick(2) == 0) {
+      world.Heal();
+    }
+  }
+  CheckCompletes(world);
+}
+
 // Returns a number from the environment.
 int Setting(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -925,4 +1022,18 @@
   }
 }
 
+TEST_CASE("faults of some VMs that last let no job stand still") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunLastingFaults(seed);
+}
+
+TEST_CASE("soak: faults of some VMs that last", "[.soak]") {
+  const int last = Setting("SOAK_LAST", 2'000);
+  for (int seed = Setting("SOAK_FIRST", 1); seed <= last; ++seed) {
+    CAPTURE(seed);
+    RunLastingFaults(seed);
+  }
+}
+
 }  // namespace chiveglade::workflow
--- a/tests/workflow/idle_job_check.cc
+++ b/tests/workflow/idle_job_check.cc
@@ -6,6 +6,16 @@
 
 namespace chiveglade::workflow {
 
+namespace {
+
+const idle_job_check::vm& FindVm(const idle_job_check::world_view& view,
+                                 const std::string& name) {
+  return *std::find_if(view.vms.begin(), view.vms.end(),
+                       [&](const auto& each) { return each.name == name; });
+}
+
+}  // namespace
+
 void idle_job_check::OnStartSent(const run_key& run,
                                  const std::string& vm,
                                  millis now) {
@@ -34,9 +44,13 @@
   std::erase_if(done_on_, [&](const auto& item) { return item.second == vm; });
 }
 
-bool idle_job_check::IsDone(const task_key& task, const step_spec& step) const {
-  const auto is_done = [this](const task_key& key) {
-    return done_.contains(key) || done_on_.contains(key);
+bool idle_job_check::IsDone(const task_key& task,
+                            const step_spec& step,
+                            const world_view& view) const {
+  const auto is_done = [&](const task_key& key) {
+    const auto at = done_on_.find(key);
+    return done_.contains(key) ||
+           (at != done_on_.end() && FindVm(view, at->second).sound);
   };
   if (!step.gang) {
     return is_done(task);
@@ -52,10 +66,11 @@
 }
 
 bool idle_job_check::IsStepDone(const task_key& first,
-                                const step_spec& step) const {
+                                const step_spec& step,
+                                const world_view& view) const {
   auto task = first;
   for (task.index = 0; task.index < step.count; ++task.index) {
-    if (!IsDone(task, step)) {
+    if (!IsDone(task, step, view)) {
       return false;
     }
   }
@@ -76,7 +91,7 @@
     for (uint32_t s = 0; s < steps.size(); ++s) {
       const bool is_ready = std::all_of(
           steps[s].after.begin(), steps[s].after.end(), [&](uint32_t earlier) {
-            return IsStepDone({id, k, earlier, 0}, steps[earlier]);
+            return IsStepDone({id, k, earlier, 0}, steps[earlier], view);
           });
       task_key task{id, k, s, 0};
       for (; is_ready && task.index < steps[s].count; ++task.index) {
@@ -84,7 +99,7 @@
         const bool gave_up =
             failures != failures_.end() && failures->second >= job.attempts;
         if (!gave_up && !view.running.contains(task) &&
-            !IsDone(task, steps[s])) {
+            !IsDone(task, steps[s], view)) {
           out.push_back(task);
         }
       }
@@ -126,11 +141,9 @@
   const auto last = last_starts_.find(task);
   bool may_run_unseen = view.loses_messages;
   if (last != last_starts_.end()) {
-    const auto at = std::find_if(
-        view.vms.begin(), view.vms.end(),
-        [&](const vm& each) { return each.name == last->second.vm; });
-    may_run_unseen = may_run_unseen || !at->lists_arrive ||
-                     (last->second.received && !at->sound);
+    const auto& at = FindVm(view, last->second.vm);
+    may_run_unseen = may_run_unseen || !at.lists_arrive ||
+                     (last->second.received && !at.sound);
   }
   if (may_run_unseen) {
     return std::max(idle.since, disturbed_at_) + kMaxIdleTimeUnderLease;
@@ -177,14 +190,19 @@
       idle_.erase(id);
       continue;
     }
-    auto& idle = idle_.try_emplace(id, idle_job{view.now}).first->second;
+    auto& idle =
+        idle_.try_emplace(id, idle_job{view.now, false, {}}).first->second;
+    // A run that may go on unseen keeps its bound after the next one was sent.
     // The job may stay idle as long as the first of its tasks that can run.
-    const auto soonest = std::min_element(
-        tasks->second.begin(), tasks->second.end(),
-        [&](const task_key& a, const task_key& b) {
-          return Deadline(idle, a, view) < Deadline(idle, b, view);
-        });
-    if (!idle.reported && view.now > Deadline(idle, *soonest, view)) {
+    const task_key* soonest = nullptr;
+    for (const auto& task : tasks->second) {
+      auto& deadline = idle.deadlines[task];
+      deadline = std::max(deadline, Deadline(idle, task, view));
+      if (!soonest || deadline < idle.deadlines[*soonest]) {
+        soonest = &task;
+      }
+    }
+    if (!idle.reported && view.now > idle.deadlines[*soonest]) {
       idle.reported = true;
       out.push_back(Describe(idle, *soonest, view));
     }
--- a/tests/workflow/idle_job_check.h
+++ b/tests/workflow/idle_job_check.h
@@ -75,10 +75,17 @@
   struct idle_job {
     millis since{0};
     bool reported = false;
+    std::map<task_key, millis> deadlines;  // of the tasks that wait
   };
 
-  bool IsDone(const task_key& task, const step_spec& step) const;
-  bool IsStepDone(const task_key& first, const step_spec& step) const;
+  // An end that was not acknowledged counts if its worker's VM is sound.
+  // Otherwise nobody may know of it, and the task has to run again.
+  bool IsDone(const task_key& task,
+              const step_spec& step,
+              const world_view& view) const;
+  bool IsStepDone(const task_key& first,
+                  const step_spec& step,
+                  const world_view& view) const;
   // Returns the tasks of a job whose turn has come and that do not run.
   std::vector<task_key> WaitingTasks(const std::string& id,
                                      const submission& job,
@@ -87,7 +94,7 @@
   static bool HaveRoom(
       const world_view& view,
       const std::map<std::string, std::vector<task_key>>& waiting);
-  // Returns when the idle job becomes a violation.
+  // Returns until when the task may wait, as far as its last start shows.
   millis Deadline(const idle_job& idle,
                   const task_key& task,
                   const world_view& view) const;
