Test idle jobs on workers that hang and runners that hear too little

"runs whose only order is lost while the worker hangs are given up": the worker replies to no call while its heartbeats arrive, and orders are lost for 500 ms only.

"runs of a new coordinator that a runner never hears are given up": orders and replies to reports are lost.

--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -986,6 +986,54 @@
   CheckCompletesElsewhere(world);
 }
 
+// The coordinator sends no order again on lists that are not recent.
+TEST_CASE("runs whose only order is lost while the worker hangs are given up") {
+  using handling = workflow_world::call_handling;
+  const auto how = GENERATE(handling::kIgnore, handling::kNoReply);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(static_cast<int>(how), moment);
+  workflow_world world(1'100 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  world.Advance(millis(3'000));
+  world.SetCallHandling(0, how);
+  world.Advance(millis(200 * moment));
+  world.SetOrdersLost(0, true);
+  SubmitWideJobs(world);
+  world.Advance(millis(500));
+  world.SetOrdersLost(0, false);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs of a new coordinator that a runner never hears are given up") {
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(moment);
+  workflow_world world(900 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'500));
+  world.SetOrdersLost(0, true);
+  world.SetReportRepliesLost(0, true);
+  world.Advance(millis(170 * moment));
+  for (size_t i = 0; i < kGateways; ++i) {
+    world.RestartGateway(i);
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a VM whose new runner hears no heartbeat are given up") {
+  const int moment = GENERATE(range(0, 20));
+  const bool loses_orders = GENERATE(false, true);
+  CAPTURE(moment, loses_orders);
+  workflow_world world(1'000 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'000 + 40 * moment));
+  world.SetHeartbeatsLost(0, true);
+  world.RestartRunner(0);
+  world.SetOrdersLost(0, loses_orders);
+  CheckCompletesElsewhere(world);
+}
+
 TEST_CASE("jobs complete although one runner's reports get lost") {
   const int moment = GENERATE(range(0, 20));
   CAPTURE(moment);
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -58,6 +58,7 @@
   bool orders_lost = false;
   bool reports_lost = false;
   bool report_replies_lost = false;
+  bool heartbeats_lost = false;
   bool draining = false;
   std::optional<millis> suspended_since;
   // Tasks with a run when it was suspended.
@@ -347,6 +348,11 @@
   runners_[index]->report_replies_lost = lost;
 }
 
+void workflow_world::SetHeartbeatsLost(size_t index, bool lost) {
+  NoteDisturbance();
+  runners_[index]->heartbeats_lost = lost;
+}
+
 void workflow_world::SetWorkerDraining(size_t index, bool draining) {
   NoteDisturbance();
   runners_[index]->draining = draining;
@@ -427,7 +433,7 @@
   for (auto& runner : runners_) {
     runner->partitioned = runner->frozen = runner->draining = false;
     runner->orders_lost = runner->reports_lost = false;
-    runner->report_replies_lost = false;
+    runner->report_replies_lost = runner->heartbeats_lost = false;
     runner->handling = call_handling::kAnswer;
     SetVmSuspended(runner->index, false);
     runner->worker->BringUp();
@@ -576,7 +582,7 @@
                      !on.worker->refusing() &&
                      on.handling == call_handling::kAnswer;
   out.sound = out.lists_arrive && !on.orders_lost && !on.report_replies_lost &&
-              !on.draining;
+              !on.heartbeats_lost && !on.draining;
   out.free = on.worker->capacity();
   for (const auto& run : on.worker->runs()) {
     if (const auto* step = StepOf(run.task)) {
@@ -798,7 +804,8 @@
 
 void workflow_world::StepRunner(runner& on) {
   const auto now = At(time_);
-  if (on.worker->up() && time_ - on.last_heartbeat_at >= kHeartbeatInterval) {
+  if (on.worker->up() && !on.heartbeats_lost &&
+      time_ - on.last_heartbeat_at >= kHeartbeatInterval) {
     on.last_heartbeat_at = time_;
     auto heartbeat = on.worker->MakeHeartbeat();
     heartbeat.draining = on.draining;
--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -94,6 +94,8 @@
   // A worker that refuses calls runs on.
   void SetWorkerRefusing(size_t index, bool refusing);
   void SetCallHandling(size_t index, call_handling how);
+  // The worker's heartbeats do not arrive; calls are answered.
+  void SetHeartbeatsLost(size_t index, bool lost);
   // The worker's heartbeats say that it drains; it runs on.
   void SetWorkerDraining(size_t index, bool draining);
   // The worker is lost for good: it ends, and calls get no reply. Heartbeats
