Test idle jobs on VMs whose runners get no replies

The check takes the bound of a lease only where reports do not show what the worker runs, or where a former process of the runner has received the start; for a gang, of any member, since its members wait for each other's runs to end.

--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -1056,6 +1056,23 @@
   CheckCompletesElsewhere(world);
 }
 
+// A runner without replies has no grant, and can start nothing.
+TEST_CASE("jobs that come after runners' replies got lost do not stand still") {
+  const int seed = GENERATE(range(1, 11));
+  const size_t runners = GENERATE(1, 2);
+  CAPTURE(seed, runners);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  for (size_t i = 0; i < runners; ++i) {
+    world.SetReportRepliesLost(i, true);
+  }
+  for (int i = 0; i < 20; ++i) {
+    world.Advance(millis(650 + 10 * seed));
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(2)}));
+  }
+  CheckCompletesElsewhere(world);
+}
+
 TEST_CASE("one-way losses among other faults let no job stand still") {
   const int seed = GENERATE(range(1, 41));
   CAPTURE(seed);
--- a/tests/workflow/idle_job_check.cc
+++ b/tests/workflow/idle_job_check.cc
@@ -21,14 +21,15 @@
                                  millis now) {
   auto& last = last_starts_[run.task];
   if (last.run != run || last.vm != vm) {
-    last = {run, vm, now, false};
+    last = {run, vm, now, std::nullopt};
   }
 }
 
-void idle_job_check::OnStartReceived(const run_key& run) {
+void idle_job_check::OnStartReceived(const run_key& run,
+                                     uint64_t runner_process) {
   if (const auto at = last_starts_.find(run.task);
       at != last_starts_.end() && at->second.run == run) {
-    at->second.received = true;
+    at->second.received_by = runner_process;
   }
 }
 
@@ -135,15 +136,27 @@
   return true;
 }
 
+bool idle_job_check::MayRunUnseen(const task_key& task,
+                                  const world_view& view) const {
+  const auto last = last_starts_.find(task);
+  if (last == last_starts_.end()) {
+    return false;
+  }
+  const auto& at = FindVm(view, last->second.vm);
+  return !at.lists_arrive || (last->second.received_by &&
+                              *last->second.received_by != at.runner_process);
+}
+
 millis idle_job_check::Deadline(const idle_job& idle,
                                 const task_key& task,
                                 const world_view& view) const {
-  const auto last = last_starts_.find(task);
-  bool may_run_unseen = view.loses_messages;
-  if (last != last_starts_.end()) {
-    const auto& at = FindVm(view, last->second.vm);
-    may_run_unseen = may_run_unseen || !at.lists_arrive ||
-                     (last->second.received && !at.sound);
+  bool may_run_unseen = view.loses_messages || MayRunUnseen(task, view);
+  const auto& step = view.jobs.at(task.job)->job.steps[task.step];
+  // The members of a gang wait for each other's runs to end.
+  auto member = task;
+  for (member.index = 0; step.gang && member.index < step.count;
+       ++member.index) {
+    may_run_unseen = may_run_unseen || MayRunUnseen(member, view);
   }
   if (may_run_unseen) {
     return std::max(idle.since, disturbed_at_) + kMaxIdleTimeUnderLease;
@@ -167,7 +180,7 @@
   return out + ", run " + std::to_string(last->second.run.run) + " sent to " +
          last->second.vm + " since " +
          std::to_string(last->second.sent_at.count()) + " ms" +
-         (last->second.received ? ", received" : ", never received");
+         (last->second.received_by ? ", received" : ", never received");
 }
 
 std::vector<std::string> idle_job_check::Check(const world_view& view) {
--- a/tests/workflow/idle_job_check.h
+++ b/tests/workflow/idle_job_check.h
@@ -31,6 +31,7 @@
     bool sound = false;
     // Its reports arrive and show what its worker runs.
     bool lists_arrive = false;
+    uint64_t runner_process = 0;  // number of the runner's process
     resources free;
   };
 
@@ -51,8 +52,8 @@
   // A fault has begun or ended, or the coordinator has changed.
   void OnDisturbance(millis now) { disturbed_at_ = now; }
   void OnStartSent(const run_key& run, const std::string& vm, millis now);
-  // The runner has received an order to start the run.
-  void OnStartReceived(const run_key& run);
+  // A process of the runner has received an order to start the run.
+  void OnStartReceived(const run_key& run, uint64_t runner_process);
   void OnStarted(const task_key& task) { done_on_.erase(task); }
   void OnDone(const task_key& task, const std::string& vm);
   void OnFailed(const task_key& task) { ++failures_[task]; }
@@ -70,7 +71,7 @@
     run_key run;
     std::string vm;
     millis sent_at{0};
-    bool received = false;
+    std::optional<uint64_t> received_by;  // process of the runner
   };
   struct idle_job {
     millis since{0};
@@ -94,6 +95,9 @@
   static bool HaveRoom(
       const world_view& view,
       const std::map<std::string, std::vector<task_key>>& waiting);
+  // Returns true if the last run of the task may be at work although no report
+  // shows it.
+  bool MayRunUnseen(const task_key& task, const world_view& view) const;
   // Returns until when the task may wait, as far as its last start shows.
   millis Deadline(const idle_job& idle,
                   const task_key& task,
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -577,6 +577,7 @@
 idle_job_check::vm workflow_world::MakeIdleJobVm(const runner& on) const {
   idle_job_check::vm out;
   out.name = on.name();
+  out.runner_process = on.incarnation;
   out.lists_arrive = !on.partitioned && !on.frozen && !on.reports_lost &&
                      !on.suspended_since && on.worker->up() &&
                      !on.worker->refusing() &&
@@ -739,7 +740,7 @@
     const auto deliver = [this, &runner, bytes = Encode(next.message)] {
       const auto message = *DecodeOrders(bytes);
       for (const auto& start : message.starts) {
-        idle_jobs_.OnStartReceived(start.run);
+        idle_jobs_.OnStartReceived(start.run, runner.incarnation);
       }
       runner.core->OnOrders(message, At(time_));
     };
