--- a/tests/workflow/faults_test.cc
+++ b/tests/workflow/faults_test.cc
@@ -324,6 +324,176 @@
   CheckCompletes(world);
 }
 
+// Of twelve jobs of four tasks, a quarter is placed on each of four VMs.
+constexpr size_t kVms = 4;
+
+void SubmitWideJobs(workflow_world& world) {
+  for (int i = 0; i < 12; ++i) {
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(4)}));
+  }
+}
+
+// Unlike CheckCompletes, leaves the faults as they are: the other VMs have room
+// for all jobs.
+void CheckCompletesElsewhere(workflow_world& world) {
+  world.Advance(millis(30'000));
+  CheckInvariants(world);
+  CHECK(world.AllEnded());
+}
+
+// The first two VMs lose messages in one direction at a time, and have other
+// faults, while coordinators change. The other two VMs stay well.
+void RunOneWayLosses(int seed) {
+  constexpr size_t kFaultyVms = 2;
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'031);
+  if (pick(3) == 0) {
+    world.SetFaults({.lost_message = 0.02, .late_message = 0.02});
+  }
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  SubmitJobs(world, 12);
+  for (int i = 0; i < 24; ++i) {
+    world.Advance(millis(100 + 50 * pick(30)));
+    const bool on = pick(2) == 0;
+    const size_t vm = pick(kFaultyVms);
+    using handling = workflow_world::call_handling;
+    switch (pick(11)) {
+      case 0:
+      case 1:
+        world.SetOrdersLost(vm, on);
+        break;
+      case 2:
+        world.SetReportsLost(vm, on);
+        break;
+      case 3:
+        world.SetReportRepliesLost(vm, on);
+        break;
+      case 4:
+        world.RestartRunner(vm);
+        break;
+      case 5:
+        world.SetWorkerDraining(vm, on);
+        break;
+      case 6:
+        world.SetCallHandling(vm, on ? handling::kIgnore : handling::kAnswer);
+        break;
+      case 7:
+        world.SetCallHandling(vm, on ? handling::kNoReply : handling::kAnswer);
+        break;
+      case 8:
+        world.BounceWorker(vm, millis(50 * pick(20)));
+        break;
+      case 9:
+        world.RestartGateway(pick(kGateways));
+        break;
+      default:
+        world.Submit("more" + std::to_string(i),
+                     MakeSubmission({MakeStep(1 + pick(3))}));
+        break;
+    }
+  }
+  CheckCompletesElsewhere(world);
+  CheckCompletes(world);
+}
+
+// Each round, faults of two VMs, of a gateway or of the store begin and last.
+// The other two VMs and gateways stay well.
+void RunLastingFaults(int seed) {
+  constexpr size_t kFaultyVms = 2;
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  auto pick = MakePick(static_cast<uint64_t>(seed) * 1'033);
+  if (pick(4) == 0) {
+    world.SetMaxListedEnds(1 + pick(3));
+  }
+  if (pick(4) == 0) {
+    world.SetCheckpointBytes(300 * pick(8));
+  }
+  if (pick(2) == 0) {
+    world.SetFaults({.lost_message = 0.05,
+                     .late_order = 0.1,
+                     .lost_store_answer = 0.1,
+                     .late_message = 0.05});
+  }
+  world.CheckIdleJobs();
+  for (int round = 0; round < 6; ++round) {
+    const std::string number = std::to_string(round);
+    for (int i = 0; i < 6; ++i) {
+      auto second = MakeStep(1 + pick(3));
+      second.after = {0};
+      world.Submit("job" + number + "-" + std::to_string(i),
+                   MakeSubmission({MakeStep(1 + pick(4)), second}));
+    }
+    SubmitGang(world, number);
+    for (size_t i = 0; i < 3; ++i) {
+      world.Advance(millis(50 * pick(30)));
+      const size_t vm = pick(kFaultyVms);
+      using handling = workflow_world::call_handling;
+      switch (pick(18)) {
+        case 0:
+          world.SetOrdersLost(vm, true);
+          break;
+        case 1:
+          world.SetReportsLost(vm, true);
+          break;
+        case 2:
+          world.SetReportRepliesLost(vm, true);
+          break;
+        case 3:
+          world.SetRunnerPartitioned(vm, true);
+          break;
+        case 4:
+          world.SetRunnerFrozen(vm, true);
+          break;
+        case 5:
+          world.RestartRunner(vm);
+          break;
+        case 6:
+          world.SetWorkerDraining(vm, true);
+          break;
+        case 7:
+          world.SetCallHandling(vm, handling::kIgnore);
+          break;
+        case 8:
+          world.SetCallHandling(vm, handling::kNoReply);
+          break;
+        case 9:
+          world.SetWorkerRefusing(vm, true);
+          break;
+        case 10:
+          world.CrashWorker(vm, pick(2) == 0);
+          break;
+        case 11:
+          world.LoseWorker(vm);
+          break;
+        case 12:
+          world.BounceWorker(vm, millis(50 * pick(20)));
+          break;
+        case 13:
+          world.AnnounceExit(vm);
+          break;
+        case 14:
+          world.SendForeignHeartbeat(vm);
+          break;
+        case 15:
+          world.SetGatewayFrozen(0, pick(2) == 0);
+          break;
+        case 16:
+          world.SetStorePartitioned(0, pick(2) == 0);
+          break;
+        default:
+          world.RestartGateway(pick(kGateways));
+          break;
+      }
+    }
+    world.Advance(millis(12'000));
+    if (pick(2) == 0) {
+      world.Heal();
+    }
+  }
+  CheckCompletes(world);
+}
+
 // Returns a number from the environment.
 int Setting(const char* name, int otherwise) {
   const char* text = std::getenv(name);
@@ -721,4 +891,235 @@
   CHECK(world.AllEnded());
 }
 
+// Regression, issue 63: runs whose orders never arrived kept their place for
+// good, as the reports of their VM did.
+TEST_CASE("jobs complete although one runner gets no orders") {
+  const int seed = GENERATE(range(1, 11));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'000));
+  world.SetOrdersLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("no job stands still whenever the orders to a runner get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(200 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetOrdersLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE(
+    "jobs that come after a runner's orders got lost do not stand still") {
+  const int seed = GENERATE(range(1, 11));
+  CAPTURE(seed);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  world.SetOrdersLost(0, true);
+  for (int i = 0; i < 20; ++i) {
+    world.Advance(millis(700));
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(2)}));
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("a new coordinator gives up runs whose orders do not arrive") {
+  const bool restart_first = GENERATE(false, true);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(restart_first, moment);
+  workflow_world world(300 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'500));
+  const auto restart = [&world] {
+    for (size_t i = 0; i < kGateways; ++i) {
+      world.RestartGateway(i);
+    }
+  };
+  if (restart_first) {
+    restart();
+  } else {
+    world.SetOrdersLost(0, true);
+  }
+  world.Advance(millis(170 * moment));
+  if (restart_first) {
+    world.SetOrdersLost(0, true);
+  } else {
+    restart();
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs of a restarted runner that gets no orders are given up") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(400 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  const bool restart_first = moment % 2 == 0;
+  if (restart_first) {
+    world.RestartRunner(0);
+  } else {
+    world.SetOrdersLost(0, true);
+  }
+  world.Advance(millis(60 * moment));
+  if (restart_first) {
+    world.SetOrdersLost(0, true);
+  } else {
+    world.RestartRunner(0);
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a draining VM whose runner gets no orders are given up") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(500 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  world.SetOrdersLost(0, true);
+  world.Advance(millis(150 * moment));
+  world.SetWorkerDraining(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a silent worker whose runner gets no orders are given up") {
+  using handling = workflow_world::call_handling;
+  const auto how = GENERATE(handling::kIgnore, handling::kNoReply);
+  const bool same_vm = GENERATE(false, true);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(static_cast<int>(how), same_vm, moment);
+  workflow_world world(600 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'300));
+  world.SetOrdersLost(0, true);
+  world.Advance(millis(250 * moment));
+  world.SetCallHandling(same_vm ? 0 : 1, how);
+  CheckCompletesElsewhere(world);
+}
+
+// The coordinator sends no order again on lists that are not recent.
+TEST_CASE("runs whose only order is lost while the worker hangs are given up") {
+  using handling = workflow_world::call_handling;
+  const auto how = GENERATE(handling::kIgnore, handling::kNoReply);
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(static_cast<int>(how), moment);
+  workflow_world world(1'100 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  world.Advance(millis(3'000));
+  world.SetCallHandling(0, how);
+  world.Advance(millis(200 * moment));
+  world.SetOrdersLost(0, true);
+  SubmitWideJobs(world);
+  world.Advance(millis(500));
+  world.SetOrdersLost(0, false);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs of a new coordinator that a runner never hears are given up") {
+  const int moment = GENERATE(range(0, 12));
+  CAPTURE(moment);
+  workflow_world world(900 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'500));
+  world.SetOrdersLost(0, true);
+  world.SetReportRepliesLost(0, true);
+  world.Advance(millis(170 * moment));
+  for (size_t i = 0; i < kGateways; ++i) {
+    world.RestartGateway(i);
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("runs on a VM whose new runner hears no heartbeat are given up") {
+  const int moment = GENERATE(range(0, 20));
+  const bool loses_orders = GENERATE(false, true);
+  CAPTURE(moment, loses_orders);
+  workflow_world world(1'000 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(1'000 + 40 * moment));
+  world.SetHeartbeatsLost(0, true);
+  world.RestartRunner(0);
+  world.SetOrdersLost(0, loses_orders);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("jobs complete although one runner's reports get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(700 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetReportsLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("jobs complete although the replies to one runner get lost") {
+  const int moment = GENERATE(range(0, 20));
+  CAPTURE(moment);
+  workflow_world world(800 + moment, kVms, kGateways);
+  world.CheckIdleJobs();
+  SubmitWideJobs(world);
+  world.Advance(millis(137 * moment));
+  world.SetReportRepliesLost(0, true);
+  CheckCompletesElsewhere(world);
+}
+
+// A runner without replies has no grant, and can start nothing.
+TEST_CASE("jobs that come after runners' replies got lost do not stand still") {
+  const int seed = GENERATE(range(1, 11));
+  const size_t runners = GENERATE(1, 2);
+  CAPTURE(seed, runners);
+  workflow_world world(static_cast<uint64_t>(seed), kVms, kGateways);
+  world.CheckIdleJobs();
+  for (size_t i = 0; i < runners; ++i) {
+    world.SetReportRepliesLost(i, true);
+  }
+  for (int i = 0; i < 20; ++i) {
+    world.Advance(millis(650 + 10 * seed));
+    world.Submit("job" + std::to_string(i), MakeSubmission({MakeStep(2)}));
+  }
+  CheckCompletesElsewhere(world);
+}
+
+TEST_CASE("one-way losses among other faults let no job stand still") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunOneWayLosses(seed);
+}
+
+TEST_CASE("soak: one-way losses among other faults", "[.soak]") {
+  const int last = Setting("SOAK_LAST", 2'000);
+  for (int seed = Setting("SOAK_FIRST", 1); seed <= last; ++seed) {
+    CAPTURE(seed);
+    RunOneWayLosses(seed);
+  }
+}
+
+TEST_CASE("faults of some VMs that last let no job stand still") {
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(seed);
+  RunLastingFaults(seed);
+}
+
+TEST_CASE("soak: faults of some VMs that last", "[.soak]") {
+  const int last = Setting("SOAK_LAST", 2'000);
+  for (int seed = Setting("SOAK_FIRST", 1); seed <= last; ++seed) {
+    CAPTURE(seed);
+    RunLastingFaults(seed);
+  }
+}
+
 }  // namespace chiveglade::workflow
