Allow for orders of an earlier coordinator in the check for idle jobs

Traced with "runs of a new coordinator that a runner never hears are given up": the runner knows the leader before, which may go on sending its orders until its lease on the role is over. Only to starts of an earlier coordinator, and only until the runner knows the present one.

--- a/tests/workflow/idle_job_check.cc
+++ b/tests/workflow/idle_job_check.cc
@@ -18,10 +18,11 @@
 
 void idle_job_check::OnStartSent(const run_key& run,
                                  const std::string& vm,
+                                 uint64_t epoch,
                                  millis now) {
   auto& last = last_starts_[run.task];
   if (last.run != run || last.vm != vm) {
-    last = {run, vm, now, std::nullopt};
+    last = {run, vm, epoch, now, std::nullopt};
   }
 }
 
@@ -143,8 +144,13 @@
     return false;
   }
   const auto& at = FindVm(view, last->second.vm);
-  return !at.lists_arrive || (last->second.received_by &&
-                              *last->second.received_by != at.runner_process);
+  // An earlier coordinator may still be sending the order to a runner that has
+  // not heard of the present one.
+  const bool is_of_earlier =
+      last->second.epoch < view.epoch && at.known_epoch < view.epoch;
+  return !at.lists_arrive || is_of_earlier ||
+         (last->second.received_by &&
+          *last->second.received_by != at.runner_process);
 }
 
 millis idle_job_check::Deadline(const idle_job& idle,
--- a/tests/workflow/idle_job_check.h
+++ b/tests/workflow/idle_job_check.h
@@ -32,6 +32,7 @@
     // Its reports arrive and show what its worker runs.
     bool lists_arrive = false;
     uint64_t runner_process = 0;  // number of the runner's process
+    uint64_t known_epoch = 0;     // of the newest coordinator it has heard
     resources free;
   };
 
@@ -39,6 +40,7 @@
     millis now{0};
     int64_t unix_ms = 0;
     bool has_ready_coordinator = false;
+    uint64_t epoch = 0;  // of that coordinator
     // Messages and calls are lost or late at random.
     bool loses_messages = false;
     std::vector<vm> vms;
@@ -51,7 +53,10 @@
 
   // A fault has begun or ended, or the coordinator has changed.
   void OnDisturbance(millis now) { disturbed_at_ = now; }
-  void OnStartSent(const run_key& run, const std::string& vm, millis now);
+  void OnStartSent(const run_key& run,
+                   const std::string& vm,
+                   uint64_t epoch,
+                   millis now);
   // A process of the runner has received an order to start the run.
   void OnStartReceived(const run_key& run, uint64_t runner_process);
   void OnStarted(const task_key& task) { done_on_.erase(task); }
@@ -70,6 +75,7 @@
   struct sent_start {
     run_key run;
     std::string vm;
+    uint64_t epoch = 0;  // of the coordinator that sent it first
     millis sent_at{0};
     std::optional<uint64_t> received_by;  // process of the runner
   };
--- a/tests/workflow/workflow_world.cc
+++ b/tests/workflow/workflow_world.cc
@@ -552,6 +552,7 @@
   out.now = time_;
   out.unix_ms = kUnixStart + time_.count();
   out.has_ready_coordinator = ReadyCoordinator() != nullptr;
+  out.epoch = last_ready_epoch_;
   out.loses_messages = faults_ != faults{};
   for (const auto& on : runners_) {
     out.vms.push_back(MakeIdleJobVm(*on));
@@ -578,6 +579,7 @@
   idle_job_check::vm out;
   out.name = on.name();
   out.runner_process = on.incarnation;
+  out.known_epoch = on.core->epoch();
   out.lists_arrive = !on.partitioned && !on.frozen && !on.reports_lost &&
                      !on.suspended_since && on.worker->up() &&
                      !on.worker->refusing() &&
@@ -760,7 +762,7 @@
 void workflow_world::NoteOrders(const orders& in, const runner& to) {
   for (const auto& start : in.starts) {
     CheckGang(start);
-    idle_jobs_.OnStartSent(start.run, to.name(), time_);
+    idle_jobs_.OnStartSent(start.run, to.name(), in.epoch, time_);
   }
   ordered_stops_.insert(in.stops.begin(), in.stops.end());
 }
