Wait for the lease of a start call after a restart of its runner

A call that an earlier process of a runner left under way is refused by the worker when its own lease of 2.5 s is over. The coordinator waited for the lease of the VM, 7 s, so a job stood for up to 10.8 s after the last order.

--- a/include/chiveglade/workflow/message.h
+++ b/include/chiveglade/workflow/message.h
@@ -163,6 +163,11 @@
 // out of service.
 constexpr millis kStartValidity{2'000};
 
+// Lease that a start call to a worker asks for. A worker refuses a start whose
+// lease is over, so this bounds how late it may carry one out. Lease calls,
+// which follow within about a second, prolong it.
+constexpr millis kStartLease{2'500};
+
 // CBOR encodings. Decoding malformed bytes fails with reason "corrupt".
 std::string Encode(const report& in);
 std::string Encode(const report_reply& in);
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -287,12 +287,10 @@
       hosted.first_start_clock_ms >= vm.runner_since_ms) {
     return true;
   }
-  // An earlier process of the runner may have left a call under way. The worker
-  // carries it out within its lease only.
-  return in.complete &&
-         millis(in.boot_clock_ms) >
-             millis(hosted.starts_expire_ms) +
-                 WithClockMargin(options.lease_duration + kMaxListAge);
+  // An earlier process of the runner may have left a call under way.
+  return in.complete && millis(in.boot_clock_ms) >
+                            millis(hosted.starts_expire_ms) +
+                                WithClockMargin(kStartLease + kMaxListAge);
 }
 
 void coordinator::state::SettleUnlistedRuns(vm_state& vm,
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -18,10 +18,6 @@
 // With less than this left of the grant, a started run might lose its lease
 // before the next extension.
 constexpr millis kMinGrantForStart{300};
-// Lease that a start call asks for. A worker refuses a start whose lease is
-// over, so this bounds how late it may carry one out. Lease calls, which follow
-// within about a second, prolong it.
-constexpr millis kStartLease{2'500};
 // Pause between lease calls while ends await acknowledgement: the worker
 // replies at once then, and the lists change only by further ends.
 constexpr millis kUnacknowledgedEndsCallInterval{60};
