--- a/tests/workflow/workflow_world.h
+++ b/tests/workflow/workflow_world.h
@@ -220,6 +220,7 @@
   bool checks_restarts_ = false;
   bool checks_idle_jobs_ = false;
   idle_job_check idle_jobs_;
+  millis late_until_{0};  // messages may arrive that were sent long before
   uint64_t last_ready_epoch_ = 0;
   // When the last run of each long-running task ended, while it has none.
   std::map<task_key, millis> down_since_;
