--- a/tests/routing/memory_h2.h
+++ b/tests/routing/memory_h2.h
@@ -116,6 +116,8 @@
     state_->reset = true;
     state_->changed.cancel();
   }
+  void Probe() override {}
+  void TimeOut() override { Reset(net::h2_error::kCancel); }
   verdict delivery() const override { return state_->delivery; }
 
  private:
