--- /dev/null
+++ b/tests/process/job_soak_test.py
@@ -0,0 +1,518 @@
+"""Real gateways and runners under faults drawn from a seed, with relays between all VMs.
+
+Callers hand in jobs of steps, gangs, best-effort and serving tasks all the while. Every accepted job must end, no task may
+run twice, and no job may stand idle beside free VMs once the deployment is calm. By hand, for long runs:
+job_soak_test.py --seeds FIRST LAST.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+import soak_world as lib  # noqa: E402
+from soak_record import VISIBLE_S, Job, Runs, Watch  # noqa: E402
+
+EDGES, SIDES, ZONES = 3, 11, 3
+STANDBYS = 3  # on the first side VMs, one a data centre
+HOST = "jobs.example"
+PREFIXES = {"booking": "/booking/", "batch": "/batch/", "serving": "/serving/"}
+FINISH_S = 20.0
+WARM_UP_S, FAULTS_S, AFTER_S = 5.0, 24.0, 4.0
+CI_SEEDS = [1]
+
+
+class CannotRun(Exception):
+    """The deployment could not be set up."""
+
+
+def free_port_block(count):
+    """First of a run of ports that are free on loopback, below those that the kernel gives out."""
+    for first in range(12000 + os.getpid() * 512 % 18000, 31000, 512):
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    stack.enter_context(socket.socket()).bind(("127.0.0.1", port))
+                return first
+            except OSError:
+                continue
+    raise CannotRun("no ports are free")
+
+
+class Process:
+    def __init__(self, world, name, role, vm, settings):
+        self.world, self.name, self.role, self.vm = world, name, role, vm
+        self.path = world.directory / f"{name}.json"
+        self.settings = settings
+        self.child = None
+        self.is_stopped = False  # by SIGSTOP
+        self.write()
+
+    def write(self):
+        self.path.write_text(json.dumps(self.settings, indent=1))
+
+    def start(self):
+        with open(self.world.directory / f"{self.name}.log", "ab") as log:
+            self.child = subprocess.Popen([str(self.world.program), self.role, str(self.path)], stdout=log, stderr=log,
+                                          stdin=subprocess.DEVNULL)
+        self.world.note("process_start", process=self.name, pid=self.child.pid)
+
+    def is_up(self):
+        return self.child is not None and self.child.poll() is None and not self.is_stopped
+
+    def signal(self, number):
+        if self.child and self.child.poll() is None:
+            self.world.note("signal", process=self.name, signal=signal.Signals(number).name)
+            with contextlib.suppress(ProcessLookupError):
+                self.child.send_signal(number)
+
+    def kill(self):
+        if self.child and self.child.poll() is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.child.send_signal(signal.SIGCONT)
+                self.child.kill()
+            self.child.wait()
+
+    async def until_gone(self, patience):
+        until = time.monotonic() + patience
+        while self.child.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        self.kill()
+
+
+class World:
+    def __init__(self, program, directory, seed):
+        self.program, self.directory, self.seed = program, directory, seed
+        self.rng = random.Random(seed)
+        self.began, self.wall = time.monotonic(), time.time()
+        self.record = open(directory / "record.txt", "w", encoding="utf-8")
+        self.problems = []
+        self.idle_jobs = []
+        self.jobs = {}
+        self.runs = Runs(self.jobs, self.broken, self.note)
+        self.workers, self.gateways, self.runners = [], [], []
+        self.gangs = {}
+        self.evacuated = set()
+        self.faults_now = 0
+        self.last_fault = self.began
+        self.busy = []
+        self.config_version = 0
+        self.loop_lag = 0.0
+
+    # The record.
+
+    def note(self, event, **fields):
+        text = " ".join(f"{k}={v}" for k, v in fields.items())
+        self.record.write(f"{time.monotonic() - self.began:8.3f} {event} {text}\n")
+
+    def broken(self, what, job=None):
+        self.note("BROKEN", what=what)
+        self.problems.append(f"{time.monotonic() - self.began:.1f} s: {what}")
+        if job and job not in self.idle_jobs:
+            self.idle_jobs.append(job)
+
+    def calm_since(self):
+        return time.monotonic() if self.faults_now else self.last_fault
+
+    def is_sound(self, worker):
+        vm = worker.vm
+        return (worker.up and not worker.is_mute and not worker.late_share and not worker.lose_answers and worker.beats
+                and self.runners[vm].is_up() and not self.network.is_cut(vm) and worker.zone not in self.evacuated)
+
+    # Gangs: members work only together, from the moment when all are present.
+
+    def gang(self, run):
+        return self.gangs.setdefault((run.task.rpartition(".")[0], run.number),
+                                     {"members": set(), "began": None, "over": None})
+
+    def leave_gang(self, run, how):
+        if run.step.get("gang"):
+            gang = self.gang(run)
+            gang["over"] = gang["over"] or how
+
+    # Set-up. VMs are numbered: side VMs first, then edges.
+
+    async def start(self):
+        first = free_port_block(400)
+        self.addresses = lib.Addresses(first)
+        self.network = lib.Network(self.addresses, self.note)
+        self.store = lib.Store(self.addresses, self.network, self.note, self.rng)
+        ports = iter(range(first + 2 * lib.MAX_PROCESSES, first + 400))
+        store_at = {}
+        for vm in range(SIDES + EDGES):
+            store_at[vm] = ("127.0.0.1", next(ports))
+            await self.store.serve(vm, store_at[vm])
+        self.configure()
+        numbers = iter(range(lib.MAX_PROCESSES))
+
+        def common(vm, number):
+            self.addresses.vm_of[number] = vm
+            ip, port = self.addresses.bound(number)
+            return {"data_centre": f"z{vm % ZONES}", "peer_listen": f"{ip}:{port}",
+                    "metrics_listen": f"127.0.0.1:{next(ports)}", "store": ["{}:{}".format(*store_at[vm])],
+                    "initial_interference": 0.05, "max_fds": 4096}
+
+        coordinating = {"processor_speed": 1, "link_mbps": 1000.0, "settings_max_age_ms": 2000,
+                        "keep_interference": True, "feasible_jobs_first": True, "adaptive_latency_margin": True,
+                        "prefer_tolerant_vms": True, "remote_slowdown": 1.5}
+        for vm in range(SIDES):
+            app, control = ("127.0.0.1", next(ports)), ("127.0.0.1", next(ports))
+            self.runners.append(Process(self, f"side-{vm}", "runner", vm, {
+                **common(vm, next(numbers)), "vm": f"side-{vm}", "worker_listen": "{}:{}".format(*control),
+                "worker": "{}:{}".format(*app), "memory_mb": 128, "worker_lease_ms": lib.HOLD_MAX_MS}))
+            self.workers.append(lib.Worker(self, vm, f"i-{vm}", app, control, f"z{vm % ZONES}", f"r{vm // 3}",
+                                           16000 if vm % 3 else 24000, 64000))
+        for n in range(EDGES):
+            vm = SIDES + n
+            front, ready = ("127.0.0.1", next(ports)), ("127.0.0.1", next(ports))
+            process = Process(self, f"edge-{n}", "gateway", vm, {
+                **common(vm, next(numbers)), **coordinating, "name": f"edge-{n}",
+                "caller_listen": "{}:{}".format(*front), "ready_listen": "{}:{}".format(*ready),
+                "processor_share": 0.25, "memory_mb": 260, "max_row_bytes": lib.ROW_BYTES})
+            process.front, process.ready = front, ready
+            self.gateways.append(process)
+        for vm in range(STANDBYS):
+            self.gateways.append(Process(self, f"side-{vm}-standby", "gateway", vm, {
+                **common(vm, next(numbers)), **coordinating, "name": f"side-{vm}-standby",
+                "processor_share": 0.15, "memory_mb": 128}))
+        self.edges = self.gateways[:EDGES]
+        for process in self.processes():
+            number = int(process.settings["peer_listen"].split(":")[1]) - first
+            for vm in range(SIDES + EDGES):
+                if vm != process.vm:
+                    await self.network.open_relay(vm, number)
+        for process in self.processes():
+            process.start()
+        for worker in self.workers:
+            await worker.start()
+        await self.until(self.is_ready, "the gateways to be ready", 15)
+
+    def processes(self):
+        return self.gateways + self.runners
+
+    async def until(self, condition, what, patience):
+        until = time.monotonic() + patience
+        while not await condition():
+            if time.monotonic() > until:
+                raise CannotRun(f"waited in vain for {what}")
+            await asyncio.sleep(0.05)
+
+    async def is_ready(self):
+        for edge in self.edges:
+            if (await lib.call(edge.ready, "GET", "/readyz", timeout=1))[0] != 200:
+                return False
+        return True
+
+    def configure(self):
+        self.config_version += 1
+        routes = [{"name": name, "host": HOST, "prefix": prefix, "kind": "non_idempotent",
+                   "timeout_ms": 3000 + self.config_version, "target_latency_ms": 1000,
+                   "priority": 2 if name == "batch" else 0, "service": "app-0", "attempts": 4, "stretch": 2.0}
+                  for name, prefix in PREFIXES.items()]
+        self.store.put("config", {
+            "version": self.config_version, "routes": routes,
+            "services": [{"name": "app-0", "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": False,
+                          "cold_start_s": 0.0, "cold_per_s": 0.0, "enforces_capacity": False, "headroom": False}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
+                       "idle_timeout_ms": 15000}})
+
+    async def stop(self):
+        for process in self.processes() + self.busy:
+            process.kill()
+        for process in self.busy:
+            process.wait()
+        for worker in self.workers:
+            worker.up = False
+            if worker.http:
+                worker.http.stop()
+        if hasattr(self, "store"):
+            self.store.stop()
+            for server in self.network.servers:
+                server.close()
+        self.record.close()
+
+    # Callers.
+
+    def new_job(self, rng):
+        """A job whose steps and whose `spec` are drawn from the seed."""
+        name = f"{rng.getrandbits(64):016x}"
+        draw = rng.random()
+        steps, kinds = [], []
+
+        def add(kind, **fields):
+            kinds.append(kind | {"cpu": fields["cpu"], "mem_mb": fields["mem_mb"]})
+            steps.append({"estimate_ms": kind.get("ms", 500), **fields} | ({"after": [len(steps) - 1]} if steps else {}))
+
+        if draw < 0.62:
+            for _ in range(rng.choice([1, 1, 2, 2, 3])):
+                add({"ms": rng.randrange(200, 900)}, count=rng.randrange(4, 9), cpu=rng.randrange(120, 700),
+                    mem_mb=480, image=f"app-{rng.randrange(3)}")
+            return Job(name, "booking", steps, kinds)
+        if draw < 0.68:
+            size = rng.randrange(3, 6)
+            add({"ms": rng.randrange(400, 1500), "gang": size}, count=size, cpu=800, mem_mb=800, gang=True,
+                image="gang")
+            return Job(name, "booking", steps, kinds)
+        for _ in range(rng.choice([1, 2, 2, 3])):
+            add({"ms": rng.randrange(600, 1700), "fills": True}, count=rng.randrange(4, 9),
+                cpu=rng.randrange(900, 2600), mem_mb=2400, fills=True, image=f"fill-{rng.randrange(4)}")
+        return Job(name, "batch", steps, kinds)
+
+    def new_serving_job(self, rng):
+        kind = {"lasts": True, "serves": rng.randrange(30, 60), "harm": rng.choice([0.5, 2, 6]), "cpu": 2600,
+                "mem_mb": 6000}
+        step = {"count": rng.randrange(3, 6), "cpu": 2600, "mem_mb": 6000, "estimate_ms": 500, "long_running": True,
+                "image": f"serve-{rng.randrange(3)}", "target_ms": 100}
+        return Job(f"{rng.getrandbits(64):016x}", "serving", [step], [kind])
+
+    async def ask(self, method, job, body=None, rng=None):
+        edge = (rng or self.rng).choice(self.edges)
+        return await lib.call(edge.front, method, PREFIXES[job.queue] + job.name,
+                              {"Host": HOST, "X-Deadline-Ms": "3000"}, body)
+
+    async def submit(self, job):
+        self.jobs[job.name] = job
+        statuses = []
+        for _ in range(6):
+            status, _ = await self.ask("POST", job, job.body())
+            statuses.append(status)
+            if status and 200 <= status < 300:
+                job.accepted_at = time.monotonic()
+                break
+            if status in (429, 503):
+                job.refused = all(s in (429, 503) for s in statuses)
+                break
+            await asyncio.sleep(0.3)
+        self.note("submit", job=job.name, queue=job.queue, statuses=statuses)
+        if job.accepted_at is not None:
+            await self.follow(job)
+
+    async def follow(self, job):
+        """Asks for the state of an accepted job until it is completed or cancelled."""
+        while job.cancelled_at is None:
+            await asyncio.sleep(self.rng.uniform(0.5, 1.0))
+            asked_at = time.monotonic()
+            status, content = await self.ask("GET", job)
+            if job.cancelled_at is not None:
+                return
+            if status == 410 and asked_at - job.accepted_at > VISIBLE_S:
+                self.broken(f"GET of the accepted job {job.name} is answered 410", job=job.name)
+                return
+            if status != 200 or not content:
+                continue
+            state = content.get("state")
+            if state != job.state:
+                self.note("state", job=job.name, state=state)
+            job.state = state
+            if state == "completed":
+                job.completed_at = time.monotonic()
+                if not all(self.runs.is_step_done(job, step) for step in range(len(job.steps))):
+                    self.broken(f"job {job.name} is shown as completed, but not all of its tasks are done", job=job.name)
+                return
+            if state in ("failed", "cancelled"):
+                self.broken(f"job {job.name} is shown as {state} without cause", job=job.name)
+                return
+
+    async def cancel(self, job):
+        job.cancelled_at = time.monotonic()
+        for _ in range(8):
+            status, _ = await self.ask("DELETE", job)
+            if status in (200, 202, 204, 410):
+                break
+            await asyncio.sleep(0.3)
+        self.note("cancel", job=job.name, status=status)
+
+
+class Soak:
+    """One run: callers, the faults of a plan, and the check."""
+
+    def __init__(self, world, plan, rate=4.0):
+        self.world, self.plan, self.rate = world, plan, rate
+        self.callers = set()
+        self.is_calling = True
+        self.watch = Watch(world)
+
+    def spawn(self, work):
+        task = asyncio.create_task(work)
+        self.callers.add(task)
+        task.add_done_callback(self.callers.discard)
+        return task
+
+    async def call_on(self):
+        rng = random.Random(f"jobs {self.world.seed}")
+        for _ in range(2):
+            self.spawn(self.world.submit(self.world.new_serving_job(rng)))
+        while self.is_calling:
+            self.spawn(self.world.submit(self.world.new_job(rng)))
+            await asyncio.sleep(rng.expovariate(self.rate))
+
+    async def look_on(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.1)
+            self.world.loop_lag = max(self.world.loop_lag, time.monotonic() - before - 0.1)
+            self.watch.look()
+
+    async def run(self):
+        world = self.world
+        await world.start()
+        world.note("ready")
+        looking = asyncio.create_task(self.look_on())
+        calling = asyncio.create_task(self.call_on())
+        await asyncio.sleep(WARM_UP_S)
+        began = time.monotonic()
+        faults = []
+        for fault in self.plan:
+            await asyncio.sleep(max(0, began + fault.at - time.monotonic()))
+            faults.append(asyncio.create_task(fault.play(world, self)))
+        await asyncio.sleep(max(0, began + FAULTS_S - time.monotonic()))
+        for done in await asyncio.gather(*faults, return_exceptions=True):
+            if isinstance(done, Exception):
+                raise done
+        world.note("healed")
+        await asyncio.sleep(AFTER_S)
+        self.is_calling = False
+        await calling
+        until = time.monotonic() + FINISH_S
+        while time.monotonic() < until and (self.unfinished() or time.monotonic() < world.calm_since() + 12):
+            await asyncio.sleep(0.1)
+        for job in self.unfinished():
+            world.broken(f"job {job.name} of {job.queue} is shown as {job.state} {FINISH_S:.0f} s after the end", job=job.name)
+        looking.cancel()
+        for task in list(self.callers):
+            task.cancel()
+        for task in (looking, *faults):
+            if task.done() and not task.cancelled() and task.exception():
+                raise task.exception()
+
+    def unfinished(self):
+        return [job for job in self.world.jobs.values() if job.accepted_at is not None and job.cancelled_at is None
+                and not job.is_lasting and job.completed_at is None]
+
+
+class Fault:
+    """Something that goes wrong at a time after the warm-up, in seconds."""
+
+    def __init__(self, at, kind, **choices):
+        self.at, self.kind, self.choices = at, kind, choices
+
+    def __repr__(self):
+        return f"{self.at:.1f} s {self.kind} " + " ".join(f"{k}={v}" for k, v in self.choices.items())
+
+    async def play(self, world, soak):
+        world.note("fault_begins", fault=self)
+        world.faults_now += 1
+        try:
+            await KINDS[self.kind](world, soak, **self.choices)
+        finally:
+            world.faults_now -= 1
+            world.last_fault = time.monotonic()
+            world.note("fault_ends", fault=self)
+
+
+async def cut_for_good(world, _, vm, to, out, new, store):
+    """The link of a VM stays cut until the end of the run."""
+    world.network.set_cut(vm, to, out, new, store)
+
+
+KINDS = {"cut_for_good": cut_for_good}
+
+
+def one_way_cut(seed):
+    """What is sent to one runner is lost for good; what it sends arrives."""
+    rng = random.Random(f"cut {seed}")
+    return [Fault(rng.uniform(0, 4), "cut_for_good", vm=rng.randrange(STANDBYS, SIDES), to=True, out=False, new=True,
+                  store=False)]
+
+
+FORMS = {"quiet": lambda _: [], "one_way_cut": one_way_cut}
+
+
+def explain(world, directory):
+    """Prints where the runs of idle jobs are, as the processes' logs have it."""
+    for job in world.idle_jobs[:3]:
+        print(f"  job {job}:")
+        lines = []
+        for path in sorted(directory.glob("*.log")):
+            for line in path.read_text(errors="replace").splitlines():
+                if job in line and any(event in line for event in
+                                       ("job_placed", "start_refused", "run_refused", "start_given_up", "run_ended",
+                                        "grant_expired", "step_waits", "start_answer")):
+                    lines.append(line[:220])
+        for line in sorted(lines)[-8:]:
+            print(f"    {line}")
+        with open(directory / "record.txt", encoding="utf-8") as record:
+            for line in [line for line in record if job in line and "run_" in line][-4:]:
+                print(f"    record: {line.rstrip()[:200]}")
+    lost = {}
+    for path in directory.glob("*.log"):
+        for line in path.read_text(errors="replace").splitlines():
+            if "event=orders_lost" in line:
+                vm = line.split("vm=")[1].split()[0]
+                lost[vm] = lost.get(vm, 0) + 1
+    print(f"  orders_lost by VM: {lost}")
+
+
+def play(seed, plan, program, keep):
+    """Returns whether the run with this seed kept all rules."""
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"job-soak-{seed}-", dir=keep))
+    world = World(program, directory, seed)
+    soak = Soak(world, plan)
+
+    async def whole():
+        try:
+            async with asyncio.timeout(180):
+                await soak.run()
+        finally:
+            await world.stop()
+
+    try:
+        asyncio.run(whole())
+    except (CannotRun, TimeoutError) as error:
+        world.problems.append(f"could not run: {error!r}")
+    accepted = [job for job in world.jobs.values() if job.accepted_at is not None]
+    print(f"seed {seed}: {len(world.jobs)} jobs, {len(accepted)} accepted, "
+          f"{sum(job.completed_at is not None for job in accepted)} completed, "
+          f"{sum(job.refused for job in world.jobs.values())} refused; {len(world.problems)} problems; "
+          f"loop late by {world.loop_lag * 1000:.0f} ms at most; {time.monotonic() - world.began:.0f} s", flush=True)
+    if not world.problems:
+        shutil.rmtree(directory)
+        return True
+    print(f"FAILED: seed {seed}, logs in {directory}")
+    for fault in plan:
+        print(f"  fault: {fault}")
+    for problem in world.problems[:12]:
+        print(f"  {problem}")
+    explain(world, directory)
+    sys.stdout.flush()
+    return False
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", type=pathlib.Path, default=pathlib.Path(__file__).resolve().parents[2] / "build")
+    parser.add_argument("--seeds", type=int, nargs=2, metavar=("FIRST", "LAST"))
+    parser.add_argument("--form", choices=FORMS, default="one_way_cut")
+    parser.add_argument("--keep", help="where logs of failed runs are kept")
+    arguments = parser.parse_args()
+    seeds = range(arguments.seeds[0], arguments.seeds[1] + 1) if arguments.seeds else CI_SEEDS
+    failed = [seed for seed in seeds
+              if not play(seed, FORMS[arguments.form](seed), arguments.build / "chiveglade", arguments.keep)]
+    print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds passed" + (f"; failed: {failed}" if failed else ""))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
