--- a/tests/process/soak_world.py
+++ b/tests/process/soak_world.py
@@ -70,6 +70,7 @@
         self.delay_s = {}
         self.changed = asyncio.Event()
         self.servers = []
+        self.relaying = set()  # tasks
         self.open = []  # [VM, VM, [silent]]
 
     def passes(self, source, target):
@@ -102,11 +103,23 @@
         while {source, target} & self.cut_from_store and not self.passes(source, target):
             await self.changed.wait()
 
+    async def stop(self):
+        for server in self.servers:
+            server.close()
+        tasks = list(self.relaying)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def open_relay(self, reader, process):
         ip, port = self.addresses.relay(reader, process)
 
         async def serve(near_in, near_out):
-            await self._serve(reader, process, near_in, near_out)
+            self.relaying.add(asyncio.current_task())
+            try:
+                await self._serve(reader, process, near_in, near_out)
+            finally:
+                self.relaying.discard(asyncio.current_task())
 
         self.servers.append(await asyncio.start_server(serve, ip, port, backlog=128))
 
@@ -261,6 +274,12 @@
         self._wake()
         self.note("operator", key=key, version=(value or {}).get("version"))
 
+    def forget(self):
+        """Loses the history; those who follow a table must read it anew."""
+        self.forgotten = self.version
+        self.log.clear()
+        self._wake()
+
     def _wake(self):
         event, self.changed = self.changed, asyncio.Event()
         event.set()
