--- a/tests/process/job_soak_test.py
+++ b/tests/process/job_soak_test.py
@@ -33,7 +33,7 @@
 EVACUATE_S = 5.0
 TERM_S = 6.0  # between SIGTERM and SIGKILL
 WARM_UP_S, FAULTS_S, AFTER_S = 5.0, 24.0, 4.0
-CI_SEEDS = [1]
+CI_PLAYS = [("one_way_cut", 1), ("healing", 4)]
 
 
 class CannotRun(Exception):
@@ -398,6 +398,7 @@
         for fault in self.plan:
             await asyncio.sleep(max(0, began + fault.at - time.monotonic()))
             faults.append(asyncio.create_task(fault.play(world, self)))
+        await asyncio.sleep(max(0, began + FAULTS_S - time.monotonic()))
         for done in await asyncio.gather(*faults, return_exceptions=True):
             if isinstance(done, Exception):
                 raise done
@@ -808,13 +809,15 @@
     parser.add_argument("--kinds", help="only these kinds of faults in the form `healing`, divided by commas")
     parser.add_argument("--keep", help="where logs of failed runs are kept")
     arguments = parser.parse_args()
-    seeds = range(arguments.seeds[0], arguments.seeds[1] + 1) if arguments.seeds else CI_SEEDS
+    plays = CI_PLAYS
+    if arguments.seeds:
+        plays = [(arguments.form, seed) for seed in range(arguments.seeds[0], arguments.seeds[1] + 1)]
     failed = []
-    for seed in seeds:
-        plan = healing(seed, arguments.kinds.split(",")) if arguments.kinds else FORMS[arguments.form](seed)
+    for form, seed in plays:
+        plan = healing(seed, arguments.kinds.split(",")) if arguments.kinds else FORMS[form](seed)
         if not play(seed, plan, arguments.build / "chiveglade", arguments.keep):
-            failed.append(seed)
-    print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds passed" + (f"; failed: {failed}" if failed else ""))
+            failed.append(f"{form} {seed}")
+    print(f"{len(plays) - len(failed)} of {len(plays)} passed" + (f"; failed: {', '.join(failed)}" if failed else ""))
     return 1 if failed else 0
 
 
