--- a/tests/process/job_soak_test.py
+++ b/tests/process/job_soak_test.py
@@ -1,7 +1,7 @@
 """Real gateways and runners under faults drawn from a seed, with relays between all VMs.
 
-Callers hand in jobs of steps, gangs, best-effort and serving tasks all the while. Every accepted job must end, no task may
-run twice, and no job may stand idle beside free VMs once the deployment is calm. By hand, for long runs:
+Callers hand in jobs of steps, gangs, best-effort and serving tasks all the while. Every accepted job must end, no task
+may run twice, and no job may stand idle beside free VMs once the deployment is calm. For long runs by hand:
 job_soak_test.py --seeds FIRST LAST.
 """
 
@@ -33,6 +33,7 @@
 EVACUATE_S = 5.0
 TERM_S = 6.0  # between SIGTERM and SIGKILL
 WARM_UP_S, FAULTS_S, AFTER_S = 5.0, 24.0, 4.0
+PORTS = 256  # of one deployment
 CI_PLAYS = [("one_way_cut", 1), ("healing", 4)]
 
 
@@ -41,15 +42,22 @@
 
 
 def free_port_block(count):
-    """First of a run of ports that are free on loopback, below those that the kernel gives out."""
-    for first in range(12000 + os.getpid() * 512 % 18000, 31000, 512):
+    """First of a run of ports that are free on loopback, below those that the kernel gives out, and the socket on the
+    last of them, which keeps other runs of this test away."""
+    blocks = range(10000, 32000 - count, count)
+    for n in range(len(blocks)):
+        first = blocks[(os.getpid() + n) % len(blocks)]
+        try:
+            held = socket.create_server(("127.0.0.1", first + count - 1))
+        except OSError:
+            continue
         with contextlib.ExitStack() as stack:
             try:
-                for port in range(first, first + count):
-                    stack.enter_context(socket.socket()).bind(("127.0.0.1", port))
-                return first
+                for port in range(first, first + count - 1):
+                    stack.enter_context(socket.create_server(("127.0.0.1", port)))
+                return first, held
             except OSError:
-                continue
+                held.close()
     raise CannotRun("no ports are free")
 
 
@@ -153,11 +161,11 @@
     # Set-up. VMs are numbered: side VMs first, then edges.
 
     async def start(self):
-        first = free_port_block(400)
+        first, self.reserved = free_port_block(PORTS)
         self.addresses = lib.Addresses(first)
         self.network = lib.Network(self.addresses, self.note)
         self.store = lib.Store(self.addresses, self.network, self.note, self.rng)
-        ports = iter(range(first + 2 * lib.MAX_PROCESSES, first + 400))
+        ports = iter(range(first + 2 * lib.MAX_PROCESSES, first + PORTS - 1))
         store_at = {}
         for vm in range(SIDES + EDGES):
             store_at[vm] = ("127.0.0.1", next(ports))
@@ -262,6 +270,7 @@
         if hasattr(self, "store"):
             self.store.stop()
             await self.network.stop()
+            self.reserved.close()
         self.record.close()
 
     # Callers.
@@ -274,7 +283,8 @@
 
         def add(kind, **fields):
             kinds.append(kind | {"cpu": fields["cpu"], "mem_mb": fields["mem_mb"]})
-            steps.append({"estimate_ms": kind.get("ms", 500), **fields} | ({"after": [len(steps) - 1]} if steps else {}))
+            after = {"after": [len(steps) - 1]} if steps else {}
+            steps.append({"estimate_ms": kind.get("ms", 500), **fields, **after})
 
         if draw < 0.62:
             for _ in range(rng.choice([1, 1, 2, 2, 3])):
@@ -340,7 +350,8 @@
             if state == "completed":
                 job.completed_at = time.monotonic()
                 if not all(self.runs.has_step_ended(job, step) for step in range(len(job.steps))):
-                    self.broken(f"job {job.name} is shown as completed, but not all of its tasks are done", job=job.name)
+                    self.broken(f"job {job.name} is shown as completed, but not all of its tasks are done",
+                                job=job.name)
                 return
             if state in ("failed", "cancelled"):
                 self.broken(f"job {job.name} is shown as {state} without cause", job=job.name)
@@ -412,7 +423,8 @@
         while time.monotonic() < until and (self.unfinished() or time.monotonic() < world.calm_since() + 12):
             await asyncio.sleep(0.1)
         for job in self.unfinished():
-            world.broken(f"job {job.name} of {job.queue} is shown as {job.state} {FINISH_S:.0f} s after the end", job=job.name)
+            world.broken(f"job {job.name} of {job.queue} is shown as {job.state} {FINISH_S:.0f} s after the end",
+                         job=job.name)
         for process in world.processes():
             if process.child.poll() is not None:
                 world.broken(f"{process.name} has ended by itself with {process.child.returncode}")
@@ -753,7 +765,8 @@
                 last[event["task"], event["run"]] = event
         for event in [event for event in last.values() if event["event"] != "run_ended"][:4]:
             show(event)
-        for event in [event for event in of_job if event["event"] in ("step_waits", "start_refused", "start_given_up")][-2:]:
+        waits = ("step_waits", "start_refused", "start_given_up")
+        for event in [event for event in of_job if event["event"] in waits][-2:]:
             show(event)
     lost = {}
     for event in events:
--- a/tests/process/soak_record.py
+++ b/tests/process/soak_record.py
@@ -147,8 +147,8 @@
             idle_s = now - max(since, calm_since + CALM_S)
             if idle_s >= patience and name not in self.reported:
                 self.reported.add(name)
-                self.world.broken(f"{name} has had nothing running for {now - since:.1f} s, {now - calm_since:.1f} s after "
-                                  "the last fault, though it could run", job=name.split(".")[0])
+                self.world.broken(f"{name} has had nothing running for {now - since:.1f} s, {now - calm_since:.1f} s "
+                                  "after the last fault, though it could run", job=name.split(".")[0])
 
     def _idle_parts(self, job):
         """(Job or task, its steps that wait, seconds that it may be idle)."""
