--- a/tests/process/job_soak_test.py
+++ b/tests/process/job_soak_test.py
@@ -619,16 +619,16 @@
     world.evacuated.pop(zone, None)
 
 
-async def cancel(world, soak, count):
-    rng = random.Random(f"cancel {world.seed}")
+async def cancel(world, soak, count, seed):
+    rng = random.Random(f"cancel {seed}")
     jobs = [job for job in world.jobs.values()
             if job.accepted_at and job.cancelled_at is None and job.completed_at is None]
     for job in rng.sample(jobs, min(count, len(jobs))):
         soak.spawn(world.cancel(job))
 
 
-async def burst(world, soak, count):
-    rng = random.Random(f"burst {world.seed}")
+async def burst(world, soak, count, seed):
+    rng = random.Random(f"burst {seed}")
     for _ in range(count):
         soak.spawn(world.submit(world.new_job(rng)))
 
@@ -679,8 +679,8 @@
         "beats_lost": lambda: {"vm": side, "seconds": long_s},
         "configure": lambda: {"times": rng.randrange(1, 6)},
         "change_settings": lambda: {"who": who, "hup": rng.random() < 0.7},
-        "cancel": lambda: {"count": rng.randrange(1, 8)},
-        "burst": lambda: {"count": rng.randrange(10, 30)},
+        "cancel": lambda: {"count": rng.randrange(1, 8), "seed": rng.getrandbits(32)},
+        "burst": lambda: {"count": rng.randrange(10, 30), "seed": rng.getrandbits(32)},
         "busy_loops": lambda: {"count": rng.randrange(1, 4), "seconds": long_s},
     }
     return [Fault(at, kind, **choices[kind]())]
