Tighten the proofs that a start cannot happen any more

- An order that answers a later report can expire before an earlier one, with little left of the grant.
- A call that an earlier process of a runner left under way was taken for over by a clock that counts suspensions, which the worker's lease may not.
The wait now begins with the first report of the present process, and allows for a late list.
- A VM whose reports arrive with gaps of over 1.3 s, and that receives no replies, was granted time after each gap.
Now after the first only.

--- a/include/chiveglade/net/h2_stream.h
+++ b/include/chiveglade/net/h2_stream.h
@@ -62,7 +62,7 @@
   // Ends the stream in both directions with an error code. Pending calls fail.
   virtual void Reset(h2_error code) = 0;
 
-  // Client: asks the peer for a sign of life on the connection of the stream.
+  // Client: sends a PING on the connection of the stream.
   virtual void Probe() = 0;
 
   // Client: like Reset(kCancel), because the answer is late. If the peer has
--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -560,7 +560,7 @@
 
 workflow::report_reply coordinator_host::OnReport(const workflow::report& in) {
   reported_at_ = hooks_.clock();
-  const auto out =
+  auto out =
       coordinator_->OnReport(in, reported_at_, writer_->last_commit_sent_at());
   SchedulePump(kOnce);
   return out;
--- a/src/workflow/coordinator_idle.cc
+++ b/src/workflow/coordinator_idle.cc
@@ -1,4 +1,4 @@
-// Reports jobs that make no progress although their turn has come.
+// Reports jobs of which nothing runs although a task is ready to run.
 #include <algorithm>
 
 #include "src/workflow/coordinator_state.h"
--- a/src/workflow/coordinator_state.h
+++ b/src/workflow/coordinator_state.h
@@ -93,6 +93,7 @@
   // Last report that showed that the reply to the one before was received, or
   // that was the first of the runner's process or after a silence.
   boot_time reply_received_at{};
+  bool silence_excused = false;  // no reply was received since that silence
   // First call with orders that failed since the last one that was answered;
   // zero: none.
   boot_time orders_failing_since{};
--- a/src/workflow/coordinator_vms.cc
+++ b/src/workflow/coordinator_vms.cc
@@ -27,6 +27,8 @@
 // A start is sent again for this long; when it has expired, the task is placed
 // anew.
 constexpr millis kMaxStartRetryTime{3'000};
+// Of a lease call to a worker; its lists may be older by this.
+constexpr millis kMaxReplyTime{700};
 // An order without its texts, encoded.
 constexpr size_t kOrderBytes = 128;
 constexpr double kMillicoresPerCore = 1'000;
@@ -125,8 +127,11 @@
   const bool last_was_answered = in.epoch == state_->options.epoch &&
                                  in.answered > 0 &&
                                  in.answered + 1 == in.sequence;
-  if (is_new_runner || was_silent || last_was_answered) {
+  // The reply to the last report before a silence may have been lost with it.
+  const bool may_be_lost = was_silent && !vm.silence_excused;
+  if (is_new_runner || last_was_answered || may_be_lost) {
     vm.reply_received_at = now;
+    vm.silence_excused = may_be_lost && !is_new_runner;
   }
   if (is_new_runner) {
     vm.runner_since_ms = in.boot_clock_ms;
@@ -287,10 +292,13 @@
       hosted.first_start_clock_ms >= vm.runner_since_ms) {
     return true;
   }
-  // An earlier process of the runner may have left a call under way.
-  return in.complete && millis(in.boot_clock_ms) >
-                            millis(hosted.starts_expire_ms) +
-                                WithClockMargin(kStartLease + kMaxListAge);
+  // An earlier process of the runner may have left a call under way. It ended
+  // before the first report of this one. The lease of the call does not count
+  // the time for which its VM is suspended.
+  return in.complete &&
+         millis(in.boot_clock_ms) >
+             millis(vm.runner_since_ms) +
+                 WithClockMargin(kStartLease + kMaxListAge + kMaxReplyTime);
 }
 
 void coordinator::state::SettleUnlistedRuns(vm_state& vm,
@@ -619,8 +627,10 @@
         hosted.first_start_sent_at = now;
         hosted.first_start_clock_ms = message->boot_clock_ms;
       }
+      // With little left of the grant, a later order may expire first.
       hosted.starts_expire_ms =
-          message->boot_clock_ms + message->valid_for.count();
+          std::max(hosted.starts_expire_ms,
+                   message->boot_clock_ms + message->valid_for.count());
     } else {
       continue;
     }
--- a/src/workflow/supervisor.cc
+++ b/src/workflow/supervisor.cc
@@ -738,7 +738,7 @@
     const bool has_lists = has_worker_clock_ && lists_complete_ && !refusing &&
                            lists_epoch_ == epoch_ &&
                            now - last_lease_reply_at_ < kMaxListAge;
-    // Without a lease the worker runs nothing.
+    // Without a lease the worker runs nothing. It may have ends to list.
     out.complete = has_lists || (runs_.empty() && IsLeaseOver(now));
     size_t checkpoint_bytes = 0;
     for (const auto& [run, item] : runs_) {
--- a/src/workflow/supervisor_worker.cc
+++ b/src/workflow/supervisor_worker.cc
@@ -35,7 +35,7 @@
     next.order = std::move(item.order);
     next.status.run = run;
     next.start_sent = true;
-    // By the clock of the life before.
+    // By the clock of the previous incarnation.
     next.latest_lease_ms = INT64_MAX;
     next.call_in_flight = item.call_in_flight;
     next.stop_in_flight = item.stop_in_flight;
