--- a/tests/process/job_soak_test.py
+++ b/tests/process/job_soak_test.py
@@ -781,6 +781,8 @@
 
 def play(seed, plan, program, keep=None):
     """Returns whether the run with this seed kept all rules."""
+    if keep:
+        pathlib.Path(keep).mkdir(parents=True, exist_ok=True)
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"job-soak-{seed}-", dir=keep))
     world = World(program, directory, seed)
     soak = Soak(world, plan)
