--- a/src/app/coordinator_host.cc
+++ b/src/app/coordinator_host.cc
@@ -754,11 +754,14 @@
         if (!coordinator_ || leader_.epoch != epoch) {
           return;
         }
-        if (reply) {
+        if (reply && reply->status == 200) {
           coordinator_->OnOrdersDelivered(vm);
         } else {
-          hooks_.log("orders_lost",
-                     {{"vm", vm}, {"reason", reply.last_reason().code}});
+          hooks_.log(
+              "orders_lost",
+              {{"vm", vm},
+               {"reason", reply ? "status_" + std::to_string(reply->status)
+                                : reply.last_reason().code}});
           coordinator_->OnOrdersNotDelivered(vm, hooks_.clock());
         }
       },
